--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# The commands of the README. Each works on a fresh Debian 12 machine.
+PACKAGES := $(shell cat .ci/packages)
+JOBS ?= $(shell nproc)
+
+.PHONY: packages build test lint format schema demo up bench measure soak
+
+packages:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || { apt-get update && apt-get install -y $(PACKAGES); }
+
+build: packages
+	@mkdir -p build
+	@cmake --preset release >build/configure.log 2>&1 || { cat build/configure.log; exit 1; }
+	@cmake --build --preset release -j $(JOBS)
+
+test: build
+	@.ci/test
+
+lint: packages
+	@.ci/lint
+
+format:
+	@git ls-files -co --exclude-standard '*.cpp' '*.hpp' | xargs -r clang-format -i
+
+schema:
+	@cd lib/liboriole/schema && capnp compile -oc++ oriole.capnp
--- /dev/null
+++ b/main/oriolewayd/source/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
