--- /dev/null
+++ b/lib/liboriole/include/oriole/http/http_server.hpp
@@ -0,0 +1,69 @@
+/// @file
+/// @brief An HTTP server with the limits that every listener of the product needs.
+#pragma once
+
+#include <oriole/http/http_client.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace oriole {
+
+/// @brief A request as received. Header names are in lower case.
+struct http_call {
+    std::string method;
+    std::string path; ///< Without the query.
+    std::string query; ///< As sent, without the question mark.
+    std::map<std::string, std::string> headers;
+    std::string body;
+};
+
+struct http_server_limits {
+    std::size_t largestBodyBytes = 8 << 20;
+    unsigned threads = 256; ///< Requests handled at once; each holds one thread.
+};
+
+/// @brief Serves HTTP on threads of its own.
+///
+/// Refuses Transfer-Encoding (501), a bad Content-Length (400), a POST or PUT without one (411) and too long a
+/// body (413) before the body is read, closes the connection then, and never hands such a request on.
+class http_server {
+public:
+    /// @brief Handles one request; runs on a thread of the server and may block. Must not throw.
+    using handler = std::function<http_reply(const http_call&)>;
+
+    /// @brief Starts to listen. Throws std::exception when the address cannot be bound.
+    http_server(const endpoint& listen, const http_server_limits& limits, handler handle);
+
+    /// @brief Stops as @c stop does, if not yet done.
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// @brief Refuses what is new with 503 `not-run` and closes its connection; running requests go on.
+    void refuseNew();
+
+    /// @brief Requests being handled.
+    [[nodiscard]] unsigned running() const;
+
+    /// @brief Waits for running requests and ends the server.
+    void stop();
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+/// @brief Makes a reply with a JSON refusal: verdict, reason and, if not zero, retry_after_ms.
+http_reply refusal(const failure& error, unsigned retryAfterMs = 0);
+
+/// @brief Decodes %xx and + in a path segment or query value.
+std::string decodeUrl(const std::string& text);
+
+/// @brief Returns the decoded value of a query parameter, if it is there.
+std::optional<std::string> queryParameter(const std::string& query, const std::string& name);
+
+} // namespace oriole
--- /dev/null
+++ b/lib/liboriole/source/http/http_server.cpp
@@ -0,0 +1,268 @@
+#include <oriole/http/http_server.hpp>
+
+#include <cxxtools/eventloop.h>
+#include <cxxtools/http/reply.h>
+#include <cxxtools/http/request.h>
+#include <cxxtools/http/responder.h>
+#include <cxxtools/http/server.h>
+#include <cxxtools/http/service.h>
+#include <cxxtools/regex.h>
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <optional>
+#include <thread>
+
+namespace oriole {
+
+namespace {
+
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
+/// @brief Thrown before a body is read, to refuse its request.
+struct early_refusal : std::exception {
+    early_refusal(unsigned code, std::string text)
+        : status(code)
+        , reason(std::move(text))
+    {
+    }
+
+    [[nodiscard]] const char* what() const noexcept override { return reason.c_str(); }
+
+    unsigned status;
+    std::string reason;
+};
+
+void checkLength(const cxxtools::http::Request& request, std::size_t largestBodyBytes)
+{
+    if (request.hasHeader("Transfer-Encoding"))
+        throw early_refusal(501, "Transfer-Encoding is not supported; send Content-Length");
+
+    const char* header = request.getHeader("Content-Length");
+    if (header == nullptr) {
+        if (request.method() == "POST" || request.method() == "PUT")
+            throw early_refusal(411, "Content-Length is required");
+        return;
+    }
+
+    const std::string_view text(header);
+    std::size_t length = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+    if (error == std::errc::result_out_of_range)
+        throw early_refusal(413, "body too long");
+    if (error != std::errc {} || end != text.data() + text.size())
+        throw early_refusal(400, "Content-Length is not a number");
+    if (length > largestBodyBytes)
+        throw early_refusal(413, "body longer than " + std::to_string(largestBodyBytes) + " bytes");
+}
+
+http_call fromLibrary(const cxxtools::http::Request& request)
+{
+    http_call call;
+    call.method = request.method();
+    call.path = request.url();
+    call.query = request.qparams();
+    for (auto it = request.header().begin(); it != request.header().end(); ++it)
+        call.headers[lowerCase(it->first)] = it->second;
+    call.body = request.bodyStr();
+    return call;
+}
+
+void write(std::ostream& out, cxxtools::http::Reply& target, const http_reply& source)
+{
+    target.httpReturn(source.status, source.status < 400 ? "OK" : "Refused");
+    for (const auto& [name, value] : source.headers)
+        target.setHeader(name.c_str(), value.c_str());
+    out << source.body;
+}
+
+http_reply refusalWithStatus(unsigned status, const std::string& reason)
+{
+    auto reply = refusal(notRun(failure_kind::InvalidInput, reason));
+    reply.status = status;
+    reply.headers["Connection"] = "close";
+    return reply;
+}
+
+} // namespace
+
+struct http_server::state {
+    state(const endpoint& listen, const http_server_limits& wanted, handler handle);
+
+    http_server_limits limits;
+    handler serve;
+    std::atomic<bool> refusing { false };
+    std::atomic<unsigned> running { 0 };
+    cxxtools::EventLoop loop;
+    std::unique_ptr<cxxtools::http::Service> service;
+    std::unique_ptr<cxxtools::http::Server> server;
+    std::thread thread;
+};
+
+namespace {
+
+/// @brief Hands one request after the other to the handler; keeps nothing between two requests.
+template <typename State>
+class responder : public cxxtools::http::Responder {
+public:
+    responder(cxxtools::http::Service& service, State& state)
+        : Responder(service)
+        , m_state(state)
+    {
+    }
+
+    void beginRequest(
+        cxxtools::net::TcpSocket& socket, std::istream& in, cxxtools::http::Request& request) override
+    {
+        Responder::beginRequest(socket, in, request);
+        checkLength(request, m_state.limits.largestBodyBytes);
+    }
+
+    void reply(std::ostream& out, cxxtools::http::Request& request, cxxtools::http::Reply& reply) override
+    {
+        // Counted before the check, so that a stop that sees no running request cannot miss this one.
+        ++m_state.running;
+        if (m_state.refusing)
+            write(out, reply, refusalWithStatus(503, "stopping"));
+        else
+            write(out, reply, m_state.serve(fromLibrary(request)));
+        --m_state.running;
+    }
+
+    void replyError(std::ostream& out, cxxtools::http::Request&, cxxtools::http::Reply& reply,
+        const std::exception& error) override
+    {
+        if (const auto* refused = dynamic_cast<const early_refusal*>(&error)) {
+            write(out, reply, refusalWithStatus(refused->status, refused->reason));
+            return;
+        }
+        write(out, reply, refusalWithStatus(400, "malformed request"));
+    }
+
+private:
+    State& m_state;
+};
+
+template <typename State>
+class request_service : public cxxtools::http::Service {
+public:
+    explicit request_service(State& state)
+        : m_state(state)
+    {
+    }
+
+    cxxtools::http::Responder* createResponder(const cxxtools::http::Request&) override
+    {
+        return new responder<State>(*this, m_state);
+    }
+
+    void releaseResponder(cxxtools::http::Responder* done) override { delete done; }
+
+private:
+    State& m_state;
+};
+
+} // namespace
+
+http_server::state::state(const endpoint& listen, const http_server_limits& wanted, handler handle)
+    : limits(wanted)
+    , serve(std::move(handle))
+    , service(std::make_unique<request_service<state>>(*this))
+    , server(std::make_unique<cxxtools::http::Server>(loop, listen.ip, listen.port))
+{
+    server->minThreads(4);
+    server->maxThreads(limits.threads);
+    server->addService(cxxtools::Regex("^/.*"), *service);
+    thread = std::thread([this] { loop.run(); });
+}
+
+http_server::http_server(const endpoint& listen, const http_server_limits& limits, handler handle)
+    : m_state(std::make_unique<state>(listen, limits, std::move(handle)))
+{
+}
+
+http_server::~http_server()
+{
+    stop();
+}
+
+void http_server::refuseNew()
+{
+    m_state->refusing = true;
+}
+
+unsigned http_server::running() const
+{
+    return m_state->running;
+}
+
+void http_server::stop()
+{
+    if (!m_state->thread.joinable())
+        return;
+    refuseNew();
+    m_state->loop.exit();
+    m_state->thread.join();
+}
+
+http_reply refusal(const failure& error, unsigned retryAfterMs)
+{
+    nlohmann::json body { { "verdict", toString(error.ran) }, { "reason", error.reason } };
+    http_reply reply;
+    reply.status = httpStatus(error);
+    if (retryAfterMs > 0) {
+        constexpr unsigned millisecondsPerSecond = 1000;
+        body["retry_after_ms"] = retryAfterMs;
+        reply.headers["Retry-After"]
+            = std::to_string((retryAfterMs + millisecondsPerSecond - 1) / millisecondsPerSecond);
+    }
+    reply.headers["Content-Type"] = "application/json";
+    reply.headers["Orioleway-Verdict"] = toString(error.ran);
+    reply.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return reply;
+}
+
+std::string decodeUrl(const std::string& text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '+') {
+            decoded += ' ';
+            continue;
+        }
+        unsigned value = 0;
+        if (text[i] == '%' && i + 2 < text.size()) {
+            const char* begin = text.data() + i + 1;
+            if (std::from_chars(begin, begin + 2, value, 16).ptr == begin + 2) {
+                decoded += static_cast<char>(value);
+                i += 2;
+                continue;
+            }
+        }
+        decoded += text[i];
+    }
+    return decoded;
+}
+
+std::optional<std::string> queryParameter(const std::string& query, const std::string& name)
+{
+    std::size_t begin = 0;
+    while (begin <= query.size()) {
+        const auto end = std::min(query.find('&', begin), query.size());
+        const auto pair = query.substr(begin, end - begin);
+        const auto equals = pair.find('=');
+        if (decodeUrl(pair.substr(0, equals)) == name)
+            return equals == std::string::npos ? std::string() : decodeUrl(pair.substr(equals + 1));
+        begin = end + 1;
+    }
+    return std::nullopt;
+}
+
+} // namespace oriole
