--- /dev/null
+++ b/lib/liboriole/include/oriole/entry/entry_settings.hpp
@@ -0,0 +1,27 @@
+/// @file
+/// @brief Settings of an entry, from flags and environment variables.
+#pragma once
+
+#include <oriole/core/policy.hpp>
+#include <oriole/helpers/log.hpp>
+#include <oriole/http/http_client.hpp>
+
+#include <string>
+#include <vector>
+
+namespace oriole {
+
+struct entry_settings {
+    std::string name;
+    endpoint http; ///< Callers and operators.
+    endpoint rpc; ///< Agents and other entries.
+    endpoint store;
+    std::string environment;
+    std::string failureDomain;
+    std::string region;
+    std::vector<endpoint> seeds; ///< RPC addresses of other entries, for the time that the store is down.
+    policy decisions; ///< How jobs are placed.
+    log_level logLevel = log_level::Info;
+};
+
+} // namespace oriole
