Decision core: tables, events, job life and first-fit placement

A report replaces what is known of a worker, but never frees an own attempt before its end is told, so that a stale report can't make the core give accelerators twice.

--- /dev/null
+++ b/lib/liboriole/source/core/fleet_room.cpp
@@ -0,0 +1,81 @@
+#include <oriole/core/fleet_room.hpp>
+
+#include <algorithm>
+
+namespace oriole {
+
+namespace {
+
+unsigned without(unsigned from, unsigned amount)
+{
+    return from > amount ? from - amount : 0;
+}
+
+amounts remaining(const worker_info& info, const amounts& taken)
+{
+    return { firstAccelerators(info.accelerators) & ~taken.accelerators, without(info.processors, taken.processors), without(info.memoryGb, taken.memoryGb) };
+}
+
+template <typename taken_of>
+fleet_room roomWithout(const scheduler_tables& tables, taken_of taken)
+{
+    fleet_room room(tables.workers.size());
+    for (worker_index index = 0; index < tables.workers.size(); ++index) {
+        const auto& worker = tables.workers[index];
+        room[index].worker = index;
+        if (tables.eligible(worker))
+            room[index].room = remaining(worker.info, taken(worker));
+    }
+    return room;
+}
+
+} // namespace
+
+fleet_room freeRoom(const scheduler_tables& tables)
+{
+    return roomWithout(tables, [](const worker_row& worker) -> const amounts& { return worker.used; });
+}
+
+fleet_room reclaimableRoom(const scheduler_tables& tables)
+{
+    return roomWithout(tables, [](const worker_row& worker) -> const amounts& { return worker.fixed; });
+}
+
+void takeFrom(fleet_room& room, const place_part& part)
+{
+    auto& left = room[part.worker].room;
+    left.accelerators &= ~part.taken.accelerators;
+    left.processors = without(left.processors, part.taken.processors);
+    left.memoryGb = without(left.memoryGb, part.taken.memoryGb);
+}
+
+std::vector<room_at> roomOfGroup(const fleet_room& room, const group_row& group)
+{
+    std::vector<room_at> members;
+    members.reserve(group.workers.size());
+    for (const auto worker : group.workers)
+        members.push_back(room[worker]);
+    return members;
+}
+
+std::optional<place> findPlace(const scheduler_tables& tables, const fleet_room& room, const shape& wanted, const part_scorer& score)
+{
+    if (onOneWorker(wanted))
+        return placeOnOne(room, wanted, score);
+
+    std::optional<place> best;
+    unsigned candidates = 0;
+    for (const auto& group : wanted.adjacency == adjacency::Rack ? tables.racks : tables.domains) {
+        const auto found = placeOnGroup(roomOfGroup(room, group), wanted, score);
+        if (!found)
+            continue;
+        candidates += found->candidates;
+        if (!best || found->score < best->score)
+            best = found;
+    }
+    if (best)
+        best->candidates = candidates;
+    return best;
+}
+
+} // namespace oriole
--- /dev/null
+++ b/lib/liboriole/source/core/lifecycle.cpp
@@ -0,0 +1,176 @@
+#include <oriole/core/lifecycle.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace oriole {
+
+namespace {
+
+constexpr unsigned failuresOnDifferentWorkers = 3;
+constexpr unsigned failuresAtAll = 8;
+constexpr milliseconds shortestBackOff { 20 };
+constexpr milliseconds longestBackOff { 2000 };
+constexpr unsigned backOffSteps = 7;
+
+milliseconds backOff(scheduler_tables& tables, unsigned step)
+{
+    const auto doubled = shortestBackOff.count() << std::min(step, backOffSteps);
+    const auto bounded = std::min<milliseconds::rep>(doubled, longestBackOff.count());
+    std::uniform_int_distribution<milliseconds::rep> jitter(bounded / 2, bounded + bounded / 2);
+    return milliseconds(jitter(tables.random));
+}
+
+void waitAgain(scheduler_tables& tables, job_row& job, time_point notBefore)
+{
+    job.notBefore = notBefore;
+    job.moving = false;
+    tables.enqueue(job);
+}
+
+void noteRefusal(scheduler_tables& tables, job_row& job, const std::string& worker, time_point now)
+{
+    if (const auto found = tables.workerNames.find(worker); found != tables.workerNames.end())
+        tables.workers[found->second].refused = true;
+    waitAgain(tables, job, now + backOff(tables, job.refusals));
+    ++job.refusals;
+}
+
+/// A worker on probation fails everything, so its failures say nothing about the job.
+bool countsAgainstJob(const scheduler_tables& tables, const std::string& worker)
+{
+    const auto found = tables.workerNames.find(worker);
+    return found == tables.workerNames.end() || !tables.workers[found->second].probation;
+}
+
+void noteFailure(scheduler_tables& tables, job_row& job, const attempt_ended& what, time_point now)
+{
+    const auto worker = what.worker.empty() ? "unknown in attempt " + std::to_string(what.id.number) : what.worker;
+    if (countsAgainstJob(tables, worker))
+        job.failedWorkers.insert(worker);
+    ++job.failures;
+
+    const bool final = job.failedWorkers.size() >= failuresOnDifferentWorkers || job.failures >= failuresAtAll;
+    if (final || (!job.spec.repeatable && what.mayHaveRun)) {
+        finishJob(tables, job, job_outcome::Failed, "a task failed on " + worker);
+        return;
+    }
+    waitAgain(tables, job, now + backOff(tables, job.failures));
+}
+
+void noteInterruption(scheduler_tables& tables, job_row& job, const attempt_ended& what, time_point now)
+{
+    if (!job.spec.repeatable && what.mayHaveRun) {
+        finishJob(tables, job, job_outcome::MayHaveRun, "not repeatable and its attempt was interrupted");
+        return;
+    }
+    waitAgain(tables, job, now);
+}
+
+job_outcome outcomeOfCancelled(const job_row& job, const attempt_ended& what)
+{
+    if (what.outcome == attempt_outcome::Finished)
+        return job_outcome::Finished;
+    if (!job.spec.repeatable && what.mayHaveRun && what.outcome == attempt_outcome::Lost)
+        return job_outcome::MayHaveRun;
+    return job_outcome::Cancelled;
+}
+
+} // namespace
+
+start_attempt startJob(scheduler_tables& tables, job_row& job, const place& where, const start_options& options, time_point now)
+{
+    tables.dequeue(job);
+    ++job.attempts;
+    job.state = job_state::Starting;
+    tables.activeJobs.insert(&job);
+
+    start_attempt started;
+    started.evictBorrowed = options.evictBorrowed;
+    started.reason = { options.rule, where.candidates, where.score };
+    started.attempt = { .id = { job.spec.organisation, job.spec.id, job.attempts },
+        .epoch = 0,
+        .guaranteed = options.guaranteed,
+        .urgent = options.urgent,
+        .repeatable = job.spec.repeatable,
+        .allocations = {},
+        .declaredRun = job.spec.declaredRun,
+        .payload = job.spec.payload };
+
+    auto& row = tables.attemptFor(started.attempt.id);
+    row.guaranteed = options.guaranteed;
+    row.urgent = options.urgent;
+    row.repeatable = job.spec.repeatable;
+    row.own = true;
+    row.since = now;
+    row.declaredRun = job.spec.declaredRun;
+    job.active = &row;
+    for (const auto& [worker, taken] : where.parts) {
+        const auto& info = tables.workers[worker].info;
+        started.attempt.allocations.push_back({ info.name, info.rpc, taken.accelerators, taken.processors, taken.memoryGb });
+        tables.addHolding(worker, row, { &row, taken.accelerators, taken.processors, taken.memoryGb, 0, false });
+    }
+    return started;
+}
+
+void finishJob(scheduler_tables& tables, job_row& job, job_outcome outcome, std::string reason)
+{
+    if (job.state == job_state::Waiting)
+        tables.dequeue(job);
+    tables.activeJobs.erase(&job);
+    const job_key key(job.spec.organisation, job.spec.id);
+    tables.pending.emplace_back(finish_job { key.first, key.second, outcome, std::move(reason) });
+    tables.jobs.erase(key);
+}
+
+void endAttempt(scheduler_tables& tables, job_row& job, bool evict, const std::string& reason)
+{
+    const bool asked = job.state == job_state::Ending && (evict || !job.moving);
+    if (job.state == job_state::Waiting || asked)
+        return;
+
+    job.state = job_state::Ending;
+    job.moving = evict;
+    job.active->evicting = true;
+    if (evict)
+        tables.pending.emplace_back(evict_attempt { job.active->id, reason });
+    else
+        tables.pending.emplace_back(stop_attempt { job.active->id, reason });
+}
+
+void attemptEnded(scheduler_tables& tables, const attempt_ended& what, time_point now)
+{
+    const auto found = tables.findJob(what.id.organisation, what.id.job);
+    if (!found || found->state == job_state::Waiting || found->active->id != what.id)
+        return;
+
+    auto& job = *found;
+    const bool unsure = what.outcome == attempt_outcome::Lost;
+    job.active->own = false;
+    tables.removeAttempt(*job.active, unsure);
+    job.active = nullptr;
+    if (what.outcome != attempt_outcome::Refused)
+        job.refusals = 0;
+
+    if (what.outcome == attempt_outcome::Finished) {
+        tables.organisationFor(job.spec.organisation).estimate.learn(job.spec.declaredRun, what.ran);
+        finishJob(tables, job, job_outcome::Finished, "finished");
+        return;
+    }
+    if (job.cancelled) {
+        finishJob(tables, job, outcomeOfCancelled(job, what), "cancelled by the caller");
+        return;
+    }
+    switch (what.outcome) {
+    case attempt_outcome::Failed:
+        noteFailure(tables, job, what, now);
+        return;
+    case attempt_outcome::Refused:
+        noteRefusal(tables, job, what.worker, now);
+        return;
+    default:
+        noteInterruption(tables, job, what, now);
+    }
+}
+
+} // namespace oriole
--- /dev/null
+++ b/lib/liboriole/source/core/placement.cpp
@@ -0,0 +1,208 @@
+#include <oriole/core/placement.hpp>
+
+#include <algorithm>
+#include <bit>
+
+namespace oriole {
+
+namespace {
+
+constexpr unsigned accelerators = 64;
+
+unsigned count(accelerator_set set)
+{
+    return static_cast<unsigned>(std::popcount(set));
+}
+
+accelerator_set block(unsigned offset, unsigned size)
+{
+    return firstAccelerators(size) << offset;
+}
+
+/// Share of @p total that belongs to @p part of @p whole, rounded down.
+unsigned share(unsigned total, unsigned part, unsigned whole)
+{
+    return static_cast<unsigned>(std::uint64_t { total } * part / whole);
+}
+
+bool holds(const amounts& room, const shape& wanted)
+{
+    return room.processors >= wanted.processors && room.memoryGb >= wanted.memoryGb;
+}
+
+/// Most accelerators of the shape that this room can carry with their share of processors and memory.
+unsigned capacityFor(const amounts& room, const shape& wanted)
+{
+    std::uint64_t most = std::min(count(room.accelerators), wanted.accelerators);
+    if (wanted.processors > 0)
+        most = std::min(most, std::uint64_t { room.processors } * wanted.accelerators / wanted.processors);
+    if (wanted.memoryGb > 0)
+        most = std::min(most, std::uint64_t { room.memoryGb } * wanted.accelerators / wanted.memoryGb);
+    return static_cast<unsigned>(most);
+}
+
+/// Calls @p visit with every block of the room that could hold @p size neighbours.
+template <typename visitor>
+void forEachBlock(accelerator_set room, unsigned size, visitor visit)
+{
+    if (size == 0) {
+        visit(accelerator_set { 0 });
+        return;
+    }
+    if (size > accelerators)
+        return;
+    const auto cell = std::bit_ceil(size);
+    for (unsigned offset = 0; offset + size <= accelerators; offset += cell) {
+        const auto candidate = block(offset, size);
+        if ((room & candidate) == candidate)
+            visit(candidate);
+    }
+}
+
+struct group_member {
+    const room_at* from = nullptr;
+    unsigned capacity = 0;
+    double score = 0;
+};
+
+std::vector<group_member> membersOf(std::span<const room_at> rooms, const shape& wanted, const part_scorer& score)
+{
+    std::vector<group_member> members;
+    unsigned total = 0;
+    for (const auto& from : rooms) {
+        const auto capacity = capacityFor(from.room, wanted);
+        if (capacity == 0)
+            continue;
+        total += capacity;
+        members.push_back({ &from, capacity, 0 });
+    }
+    if (total < wanted.accelerators)
+        return {};
+
+    for (auto& member : members)
+        member.score = score(*member.from, chooseAccelerators(member.from->room.accelerators, member.capacity));
+    return members;
+}
+
+/// Moves the member that fits the rest best to the front; the front is the largest one otherwise.
+std::vector<group_member>::iterator bestMember(std::vector<group_member>& members, unsigned rest)
+{
+    const auto better = [rest](const group_member& left, const group_member& right) {
+        const bool leftFits = left.capacity >= rest;
+        const bool rightFits = right.capacity >= rest;
+        if (leftFits != rightFits)
+            return leftFits;
+        if (leftFits && left.score == right.score)
+            return left.capacity < right.capacity;
+        if (!leftFits && left.capacity != right.capacity)
+            return left.capacity > right.capacity;
+        return left.score < right.score;
+    };
+    return std::min_element(members.begin(), members.end(), better);
+}
+
+} // namespace
+
+bool onOneWorker(const shape& wanted)
+{
+    return wanted.adjacency == adjacency::Worker || wanted.accelerators == 0;
+}
+
+unsigned holeAround(accelerator_set room, accelerator_set taken)
+{
+    if (taken == 0)
+        return 0;
+    const auto first = static_cast<unsigned>(std::countr_zero(taken));
+    const auto last = static_cast<unsigned>(std::bit_width(taken)) - 1;
+    unsigned hole = 0;
+    for (unsigned size = 1; size <= accelerators; size *= 2) {
+        if (first / size != last / size)
+            continue;
+        const auto cell = block(first / size * size, size);
+        if ((room & cell) != cell)
+            break;
+        hole = size;
+    }
+    return hole == 0 ? count(taken) : hole;
+}
+
+unsigned largestHole(accelerator_set room)
+{
+    unsigned largest = 0;
+    for (unsigned size = 1; size <= accelerators; size *= 2) {
+        bool found = false;
+        forEachBlock(room, size, [&](accelerator_set) { found = true; });
+        if (!found)
+            break;
+        largest = size;
+    }
+    return largest;
+}
+
+accelerator_set chooseAccelerators(accelerator_set room, unsigned wanted)
+{
+    if (count(room) <= wanted)
+        return room;
+
+    accelerator_set chosen = 0;
+    unsigned size = std::bit_floor(std::max(1U, wanted));
+    while (count(chosen) < wanted && size > 0) {
+        accelerator_set best = 0;
+        unsigned bestHole = 0;
+        forEachBlock(room & ~chosen, size, [&](accelerator_set candidate) {
+            const auto hole = holeAround(room & ~chosen, candidate);
+            if (best == 0 || hole < bestHole) {
+                best = candidate;
+                bestHole = hole;
+            }
+        });
+        chosen |= best;
+        const auto rest = wanted - count(chosen);
+        size = best == 0 ? size / 2 : std::min(size, std::bit_floor(std::max(1U, rest)));
+    }
+    return chosen;
+}
+
+std::optional<place> placeOnOne(std::span<const room_at> rooms, const shape& wanted, const part_scorer& score)
+{
+    std::optional<place> best;
+    unsigned candidates = 0;
+    for (const auto& from : rooms) {
+        if (!holds(from.room, wanted))
+            continue;
+        forEachBlock(from.room.accelerators, wanted.accelerators, [&](accelerator_set candidate) {
+            ++candidates;
+            const auto value = score(from, candidate);
+            if (!best || value < best->score)
+                best = place { { { from.worker, { candidate, wanted.processors, wanted.memoryGb } } }, value, 0 };
+        });
+    }
+    if (best)
+        best->candidates = candidates;
+    return best;
+}
+
+std::optional<place> placeOnGroup(std::span<const room_at> rooms, const shape& wanted, const part_scorer& score)
+{
+    auto members = membersOf(rooms, wanted, score);
+    place found;
+    found.candidates = static_cast<unsigned>(members.size());
+    unsigned placed = 0;
+    while (placed < wanted.accelerators && !members.empty()) {
+        const auto next = bestMember(members, wanted.accelerators - placed);
+        const auto taken = std::min(next->capacity, wanted.accelerators - placed);
+        const auto set = chooseAccelerators(next->from->room.accelerators, taken);
+        const auto after = placed + taken;
+        const auto processors = share(wanted.processors, after, wanted.accelerators) - share(wanted.processors, placed, wanted.accelerators);
+        const auto memory = share(wanted.memoryGb, after, wanted.accelerators) - share(wanted.memoryGb, placed, wanted.accelerators);
+        found.parts.push_back({ next->from->worker, { set, processors, memory } });
+        found.score += score(*next->from, set);
+        placed = after;
+        members.erase(next);
+    }
+    if (placed < wanted.accelerators)
+        return std::nullopt;
+    return found;
+}
+
+} // namespace oriole
--- /dev/null
+++ b/lib/liboriole/source/core/tables.cpp
@@ -0,0 +1,236 @@
+#include <oriole/core/tables.hpp>
+
+#include <algorithm>
+#include <bit>
+
+namespace oriole {
+
+namespace {
+
+group_index groupFor(std::vector<group_row>& groups, std::unordered_map<std::string, group_index>& names, const std::string& name)
+{
+    const auto [found, added] = names.try_emplace(name, static_cast<group_index>(groups.size()));
+    if (added) {
+        groups.emplace_back();
+        groups.back().name = name;
+    }
+    return found->second;
+}
+
+void removeFromGroup(group_row& group, worker_index index)
+{
+    std::erase(group.workers, index);
+}
+
+void addToGroup(group_row& group, worker_index index, const std::vector<worker_row>& workers)
+{
+    const auto byName = [&](worker_index left, worker_index right) { return workers[left].info.name < workers[right].info.name; };
+    group.workers.insert(std::lower_bound(group.workers.begin(), group.workers.end(), index, byName), index);
+}
+
+void addAmounts(amounts& total, const holding& what)
+{
+    total.accelerators |= what.accelerators;
+    total.processors += what.processors;
+    total.memoryGb += std::max(what.memoryGb, what.usedMemoryGb);
+}
+
+unsigned without(unsigned from, unsigned amount)
+{
+    return from > amount ? from - amount : 0;
+}
+
+} // namespace
+
+std::size_t attempt_id_hash::operator()(const attempt_id& id) const noexcept
+{
+    const std::hash<std::string> text;
+    return (text(id.organisation) * 31 + text(id.job)) * 31 + id.number;
+}
+
+scheduler_tables::scheduler_tables(std::uint64_t seed)
+    : random(seed)
+{
+}
+
+worker_index scheduler_tables::workerFor(const std::string& name)
+{
+    const auto [found, added] = workerNames.try_emplace(name, static_cast<worker_index>(workers.size()));
+    if (added) {
+        workers.emplace_back();
+        workers.back().info.name = name;
+        placeInGroups(found->second);
+    }
+    return found->second;
+}
+
+void scheduler_tables::placeInGroups(worker_index index)
+{
+    auto& worker = workers[index];
+    if (!racks.empty())
+        removeFromGroup(racks[worker.rack], index);
+    if (!domains.empty())
+        removeFromGroup(domains[worker.domain], index);
+
+    worker.rack = groupFor(racks, rackNames, worker.info.failureDomain + "/" + worker.info.rack);
+    worker.domain = domainFor(worker.info.failureDomain);
+    addToGroup(racks[worker.rack], index, workers);
+    addToGroup(domains[worker.domain], index, workers);
+}
+
+group_index scheduler_tables::domainFor(const std::string& name)
+{
+    return groupFor(domains, domainNames, name);
+}
+
+attempt_row& scheduler_tables::attemptFor(const attempt_id& id)
+{
+    auto& slot = attempts[id];
+    if (!slot) {
+        slot = std::make_unique<attempt_row>();
+        slot->id = id;
+    }
+    return *slot;
+}
+
+attempt_row* scheduler_tables::findAttempt(const attempt_id& id)
+{
+    const auto found = attempts.find(id);
+    return found == attempts.end() ? nullptr : found->second.get();
+}
+
+void scheduler_tables::addHolding(worker_index where, attempt_row& attempt, const holding& what)
+{
+    countAttempt(attempt, -1);
+    auto& worker = workers[where];
+    worker.holdings.push_back(what);
+    worker.holdings.back().attempt = &attempt;
+    ++attempt.holders;
+    attempt.accelerators += static_cast<unsigned>(std::popcount(what.accelerators));
+    attempt.processors += what.processors;
+    attempt.memoryGb += what.memoryGb;
+    attempt.workers.push_back(where);
+    countAttempt(attempt, 1);
+    recount(where);
+    ++planVersion;
+}
+
+void scheduler_tables::removeHolding(worker_index where, std::size_t position)
+{
+    auto& worker = workers[where];
+    const auto what = worker.holdings[position];
+    auto& attempt = *what.attempt;
+    countAttempt(attempt, -1);
+    worker.holdings.erase(worker.holdings.begin() + static_cast<std::ptrdiff_t>(position));
+    --attempt.holders;
+    attempt.accelerators = without(attempt.accelerators, static_cast<unsigned>(std::popcount(what.accelerators)));
+    attempt.processors = without(attempt.processors, what.processors);
+    attempt.memoryGb = without(attempt.memoryGb, what.memoryGb);
+    std::erase(attempt.workers, where);
+    countAttempt(attempt, 1);
+    if (attempt.holders == 0 && !attempt.own)
+        attempts.erase(attempt_id(attempt.id));
+    recount(where);
+    ++version;
+    ++planVersion;
+}
+
+void scheduler_tables::removeAttempt(attempt_row& attempt, bool onlyUnreported)
+{
+    const auto id = attempt.id;
+    for (const auto where : std::vector<worker_index>(attempt.workers)) {
+        auto& holdings = workers[where].holdings;
+        const auto found = std::find_if(holdings.begin(), holdings.end(), [&](const holding& one) { return one.attempt == &attempt; });
+        if (found == holdings.end() || (onlyUnreported && found->reported))
+            continue;
+        removeHolding(where, static_cast<std::size_t>(found - holdings.begin()));
+    }
+    if (const auto left = attempts.find(id); left != attempts.end() && left->second->holders == 0)
+        attempts.erase(left);
+}
+
+void scheduler_tables::countAttempt(attempt_row& attempt, int sign)
+{
+    if (attempt.holders == 0)
+        return;
+
+    auto& organisation = organisationFor(attempt.id.organisation);
+    const auto change = [sign](unsigned& total, unsigned amount) { total = sign > 0 ? total + amount : without(total, amount); };
+    change(organisation.acceleratorsUsed, attempt.accelerators);
+    if (attempt.guaranteed) {
+        if (sign > 0)
+            organisation.guaranteedAttempts.insert(&attempt);
+        else
+            organisation.guaranteedAttempts.erase(&attempt);
+        return;
+    }
+    change(organisation.borrowedAccelerators, attempt.accelerators);
+    change(organisation.borrowedProcessors, attempt.processors);
+    change(organisation.borrowedMemoryGb, attempt.memoryGb);
+}
+
+void scheduler_tables::recount(worker_index where)
+{
+    auto& worker = workers[where];
+    worker.used = {};
+    worker.fixed = {};
+    for (const auto& what : worker.holdings) {
+        addAmounts(worker.used, what);
+        if (isFixed(*what.attempt))
+            addAmounts(worker.fixed, what);
+    }
+}
+
+organisation_row& scheduler_tables::organisationFor(const std::string& name)
+{
+    auto& organisation = organisations[name];
+    organisation.policy.name = name;
+    return organisation;
+}
+
+job_row* scheduler_tables::findJob(const std::string& organisation, const std::string& job)
+{
+    const auto found = jobs.find({ organisation, job });
+    return found == jobs.end() ? nullptr : &found->second;
+}
+
+void scheduler_tables::enqueue(job_row& job)
+{
+    job.state = job_state::Waiting;
+    job.active = nullptr;
+    job.misfitVersion = 0;
+    activeJobs.erase(&job);
+    organisationFor(job.spec.organisation).waiting.emplace(waiting_key(job.acceptedAt, job.spec.id), &job);
+}
+
+void scheduler_tables::dequeue(job_row& job)
+{
+    organisationFor(job.spec.organisation).waiting.erase(waiting_key(job.acceptedAt, job.spec.id));
+}
+
+bool scheduler_tables::eligible(const worker_row& worker) const
+{
+    return worker.present && !worker.leaving && !domains[worker.domain].out;
+}
+
+bool isFixed(const attempt_row& attempt)
+{
+    return attempt.guaranteed || attempt.urgent;
+}
+
+amounts freeOf(const worker_row& worker)
+{
+    return {
+        firstAccelerators(worker.info.accelerators) & ~worker.used.accelerators,
+        without(worker.info.processors, worker.used.processors),
+        without(worker.info.memoryGb, worker.used.memoryGb),
+    };
+}
+
+accelerator_set firstAccelerators(unsigned count)
+{
+    constexpr unsigned bits = 64;
+    return count >= bits ? ~accelerator_set { 0 } : (accelerator_set { 1 } << count) - 1;
+}
+
+} // namespace oriole
