--- a/lib/liboriole/include/oriole/entry/job_driver.hpp
+++ b/lib/liboriole/include/oriole/entry/job_driver.hpp
@@ -37,6 +37,7 @@
     job_driver(gang_gateway& agents, worker_table& workers, timer_service& timers, recorder record);
 
     void setTimes(const job_driver_times& times) { m_times = times; }
+    [[nodiscard]] milliseconds reservationTtl() const { return m_times.reservationTtl; }
 
     /// @brief Starts an attempt; its epoch has been filled in.
     void start(const start_attempt& command);
--- a/lib/liboriole/include/oriole/pages/page_keeper.hpp
+++ b/lib/liboriole/include/oriole/pages/page_keeper.hpp
@@ -59,6 +59,9 @@
     /// @brief The page with all changes, committed or not.
     [[nodiscard]] const organisation_page& page() const { return m_working; }
 
+    /// @brief The page as the store holds it.
+    [[nodiscard]] const organisation_page& committed() const { return m_committed; }
+
     /// @brief True when the page is near the largest size that is written.
     [[nodiscard]] bool full() const;
 
