--- a/lib/liboriole/include/oriole/entry/entry_settings.hpp
+++ b/lib/liboriole/include/oriole/entry/entry_settings.hpp
@@ -15,6 +15,7 @@
     std::string name;
     endpoint http; ///< Callers and operators.
     endpoint rpc; ///< Agents and other entries.
+    endpoint advertisedRpc; ///< Address that others are told; the one of @c rpc unless there is a proxy between.
     endpoint store;
     std::string environment;
     std::string failureDomain;
--- a/lib/liboriole/include/oriole/entry/job_service.hpp
+++ b/lib/liboriole/include/oriole/entry/job_service.hpp
@@ -38,6 +38,9 @@
 
     [[nodiscard]] std::vector<job_record> list(const std::string& organisation) const;
 
+    /// @brief Jobs of the organisation that have not ended.
+    [[nodiscard]] std::size_t waitingJobs(const std::string& organisation) const;
+
     /// @brief Runs the decision core. @p mayStart is false while the control view is stale.
     void tick(bool mayStart);
 
--- a/lib/liboriole/include/oriole/entry/ownership.hpp
+++ b/lib/liboriole/include/oriole/entry/ownership.hpp
@@ -55,7 +55,7 @@
     [[nodiscard]] std::vector<page_ownership> owned() const;
 
     /// @brief Gives all pages back and takes no more; @p done is called when none is held.
-    void releaseAll(std::function<void()> done);
+    void releaseAll(const std::function<void()>& done);
 
     event_source<std::string> acquired;
     event_source<std::string> lost;
--- a/lib/liboriole/include/oriole/pages/organisation_page.hpp
+++ b/lib/liboriole/include/oriole/pages/organisation_page.hpp
@@ -31,7 +31,8 @@
 struct job_record {
     job_spec spec;
     job_state state = job_state::Waiting;
-    unsigned attempts = 0; ///< Number of the last attempt.
+    unsigned lastAttempt = 0; ///< Highest attempt number recorded; numbers are not contiguous.
+    unsigned attempts = 0; ///< Attempts recorded.
     std::optional<attempt> recorded; ///< An attempt that may be held or running at its agents.
     std::string idempotencyKey;
     std::string reason;
--- a/lib/liboriole/source/entry/job_service.cpp
+++ b/lib/liboriole/source/entry/job_service.cpp
@@ -18,6 +18,24 @@
     return notRun(failure_kind::Unavailable, "this entry does not own the organisation");
 }
 
+const job_record* findByKey(const organisation_page& page, const std::string& idempotencyKey)
+{
+    if (idempotencyKey.empty())
+        return nullptr;
+    for (const auto& [id, job] : page.jobs) {
+        if (job.idempotencyKey == idempotencyKey)
+            return &job;
+    }
+    return nullptr;
+}
+
+// Numbers of an owner start above those of its predecessors, of which agents may remember some as ended.
+unsigned firstAttemptOf(std::uint64_t epoch)
+{
+    constexpr unsigned attemptsPerEpoch = 10000;
+    return static_cast<unsigned>(epoch) * attemptsPerEpoch;
+}
+
 const task_report* findTask(const std::vector<task_report>& reports, const attempt_id& id)
 {
     const auto found = std::find_if(
@@ -83,13 +101,16 @@
         done(notOwned());
         return;
     }
-    if (!idempotencyKey.empty()) {
-        for (const auto& [id, job] : keeper->page().jobs) {
-            if (job.idempotencyKey == idempotencyKey) {
+    if (const auto* known = findByKey(keeper->page(), idempotencyKey); known != nullptr) {
+        // The first submission may still be on its way to the store: an empty change waits for it.
+        const auto nothing = [](organisation_page&) {};
+        keeper->update(nothing, patience, [job = *known, done = std::move(done)](const result<bool>& committed) {
+            if (committed)
                 done(job);
-                return;
-            }
-        }
+            else
+                done(committed.error());
+        });
+        return;
     }
     if (keeper->full()) {
         done(notRun(failure_kind::Overloaded, "the organisation's page is full"));
@@ -120,10 +141,12 @@
     const auto keeper = m_pages.find(organisation);
     if (keeper == nullptr)
         return notOwned();
-    const auto found = keeper->page().jobs.find(job);
-    if (found == keeper->page().jobs.end())
-        return notRun(failure_kind::NotFound, "no job " + job + " of " + organisation);
-    return found->second;
+    // An end that is not committed yet could still be taken back.
+    for (const auto* page : { &keeper->committed(), &keeper->page() }) {
+        if (const auto found = page->jobs.find(job); found != page->jobs.end())
+            return found->second;
+    }
+    return notRun(failure_kind::NotFound, "no job " + job + " of " + organisation);
 }
 
 void job_service::wait(
@@ -163,12 +186,22 @@
 {
     std::vector<job_record> jobs;
     if (const auto keeper = m_pages.find(organisation); keeper != nullptr) {
-        for (const auto& [id, job] : keeper->page().jobs)
+        for (const auto& [id, job] : keeper->committed().jobs)
             jobs.push_back(job);
     }
     return jobs;
 }
 
+std::size_t job_service::waitingJobs(const std::string& organisation) const
+{
+    const auto keeper = m_pages.find(organisation);
+    if (keeper == nullptr)
+        return 0;
+    const auto& jobs = keeper->page().jobs;
+    return static_cast<std::size_t>(
+        std::count_if(jobs.begin(), jobs.end(), [](const auto& item) { return !isEnd(item.second.state); }));
+}
+
 void job_service::tick(bool mayStart)
 {
     const auto now = m_timers.now();
@@ -330,7 +363,8 @@
         if (job == page.jobs.end() || isEnd(job->second.state))
             return;
         job->second.state = job_state::Starting;
-        job->second.attempts = std::max(job->second.attempts, value.id.number);
+        job->second.attempts += value.id.number > job->second.lastAttempt ? 1 : 0;
+        job->second.lastAttempt = std::max(job->second.lastAttempt, value.id.number);
         job->second.recorded = value;
     };
     // What may run twice need not wait for a store that is down.
@@ -345,15 +379,20 @@
 void job_service::attemptEnded(const attempt_ended& what)
 {
     m_scheduler.apply(what, m_timers.now());
+    const auto keeper = m_pages.find(what.id.organisation);
+    if (keeper == nullptr)
+        return;
+    const auto job = keeper->page().jobs.find(what.id.job);
+    // An attempt refused before it was recorded leaves nothing to write.
+    if (job == keeper->page().jobs.end() || !job->second.recorded || job->second.recorded->id != what.id)
+        return;
     update(what.id.organisation, [id = what.id](organisation_page& page) {
-        const auto job = page.jobs.find(id.job);
-        if (job == page.jobs.end())
+        const auto found = page.jobs.find(id.job);
+        if (found == page.jobs.end() || !found->second.recorded || found->second.recorded->id != id)
             return;
-        job->second.attempts = std::max(job->second.attempts, id.number);
-        if (job->second.recorded && job->second.recorded->id.number <= id.number)
-            job->second.recorded.reset();
-        if (!isEnd(job->second.state))
-            job->second.state = job_state::Waiting;
+        found->second.recorded.reset();
+        if (!isEnd(found->second.state))
+            found->second.state = job_state::Waiting;
     });
 }
 
@@ -420,7 +459,11 @@
 void job_service::addToCore(const job_record& job)
 {
     const milliseconds waited(std::max<std::int64_t>(0, unixMilliseconds() - job.acceptedUnixMs));
-    m_scheduler.apply(job_added { job.spec, job.attempts, waited }, m_timers.now());
+    const auto keeper = m_pages.find(job.spec.organisation);
+    if (keeper == nullptr)
+        return;
+    const auto last = std::max(job.lastAttempt, firstAttemptOf(keeper->epoch()));
+    m_scheduler.apply(job_added { job.spec, last, waited }, m_timers.now());
 }
 
 void job_service::update(const std::string& organisation, page_keeper::change change)
--- a/lib/liboriole/source/entry/ownership.cpp
+++ b/lib/liboriole/source/entry/ownership.cpp
@@ -95,7 +95,7 @@
     return pages;
 }
 
-void ownership::releaseAll(std::function<void()> done)
+void ownership::releaseAll(const std::function<void()>& done)
 {
     m_leaving = true;
     auto left = std::make_shared<std::vector<std::string>>();
--- a/lib/liboriole/source/pages/organisation_page.cpp
+++ b/lib/liboriole/source/pages/organisation_page.cpp
@@ -92,7 +92,7 @@
 json encode(const job_record& record)
 {
     json target { { "spec", encode(record.spec) }, { "state", toString(record.state) },
-        { "attempts", record.attempts }, { "accepted_unix_ms", record.acceptedUnixMs } };
+        { "attempts", record.attempts }, { "last_attempt", record.lastAttempt }, { "accepted_unix_ms", record.acceptedUnixMs } };
     if (record.recorded)
         target["recorded"] = encode(*record.recorded);
     if (!record.idempotencyKey.empty())
@@ -110,6 +110,7 @@
     record.spec = decodeSpec(source.at("spec"), organisation);
     record.state = parseJobState(source.at("state").get<std::string>()).value();
     record.attempts = source.at("attempts");
+    record.lastAttempt = source.at("last_attempt");
     record.acceptedUnixMs = source.at("accepted_unix_ms");
     record.idempotencyKey = source.value("idempotency_key", "");
     record.reason = source.value("reason", "");
@@ -235,7 +236,8 @@
 {
     std::erase_if(page.jobs, [&](const auto& item) {
         const auto& job = item.second;
-        return isEnd(job.state) && !job.recorded && job.endedUnixMs + endedJobRetentionMs < nowUnixMs;
+        const auto retention = job.idempotencyKey.empty() ? endedJobRetentionMs : claimRetentionMs;
+        return isEnd(job.state) && !job.recorded && job.endedUnixMs + retention < nowUnixMs;
     });
     std::erase_if(page.claims, [&](const auto& item) {
         return item.second.answered && item.second.claimedUnixMs + claimRetentionMs < nowUnixMs;
