--- /dev/null
+++ b/lib/liboriole/include/oriole/agent/agent_server.hpp
@@ -0,0 +1,38 @@
+/// @file
+/// @brief The RPC interface of an agent, for entries and peers.
+#pragma once
+
+#include <oriole/agent/agent_view.hpp>
+#include <oriole/agent/forwarder.hpp>
+#include <oriole/agent/task_manager.hpp>
+
+#include <oriole.capnp.h>
+
+#include <functional>
+
+namespace oriole {
+
+/// @brief Translates calls; all state lives in the parts it refers to.
+class agent_server final : public rpc::Agent::Server {
+public:
+    /// @param askForView Called when a caller knows a newer control state.
+    agent_server(
+        forwarder& requests, task_manager& tasks, agent_view& view, std::function<void()> askForView);
+
+    kj::Promise<void> dispatch(DispatchContext context) override;
+    kj::Promise<void> reserve(ReserveContext context) override;
+    kj::Promise<void> commit(CommitContext context) override;
+    kj::Promise<void> release(ReleaseContext context) override;
+    kj::Promise<void> fence(FenceContext context) override;
+    kj::Promise<void> evict(EvictContext context) override;
+    kj::Promise<void> applyView(ApplyViewContext context) override;
+    kj::Promise<void> gangHeartbeat(GangHeartbeatContext context) override;
+
+private:
+    forwarder& m_requests;
+    task_manager& m_tasks;
+    agent_view& m_view;
+    std::function<void()> m_askForView;
+};
+
+} // namespace oriole
--- /dev/null
+++ b/lib/liboriole/include/oriole/agent/backend_client.hpp
@@ -0,0 +1,39 @@
+/// @file
+/// @brief Interface to the backend server beside the agent, and its implementation over HTTP.
+#pragma once
+
+#include <oriole/helpers/worker_pool.hpp>
+#include <oriole/http/http_client.hpp>
+
+#include <functional>
+
+namespace oriole {
+
+class backend_client {
+public:
+    using handler = std::function<void(result<http_reply>)>;
+
+    virtual ~backend_client() = default;
+
+    /// @brief Sends one request, once. The handler is never called inside the call itself.
+    virtual void send(const http_request& request, std::chrono::milliseconds timeout, handler done) = 0;
+
+    /// @brief Asks for the health of the backend server.
+    virtual void probe(std::chrono::milliseconds timeout, handler done) = 0;
+};
+
+/// @brief Has a thread per slot and one for probes.
+class http_backend_client final : public backend_client {
+public:
+    http_backend_client(endpoint backend, unsigned slots);
+
+    void send(const http_request& request, std::chrono::milliseconds timeout, handler done) override;
+    void probe(std::chrono::milliseconds timeout, handler done) override;
+
+private:
+    endpoint m_backend;
+    worker_pool m_requests;
+    worker_pool m_probes;
+};
+
+} // namespace oriole
--- /dev/null
+++ b/lib/liboriole/include/oriole/agent/forwarder.hpp
@@ -0,0 +1,92 @@
+/// @file
+/// @brief Forwards short requests to the backend server, as far as admission permits.
+#pragma once
+
+#include <oriole/agent/admission.hpp>
+#include <oriole/agent/agent_view.hpp>
+#include <oriole/agent/backend_client.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace oriole {
+
+/// @brief A short request as an entry dispatches it.
+struct backend_request {
+    std::string id;
+    std::string organisation;
+    std::string service;
+    bool unrepeatable = false;
+    milliseconds deadline { 0 }; ///< What is left of the caller's time.
+    std::string contentType;
+    std::string body;
+};
+
+/// @brief Counters for metrics and tests.
+struct forwarder_counters {
+    std::uint64_t dispatched = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t expired = 0; ///< Deadlines that passed in the queue.
+    std::uint64_t completed = 0;
+    std::uint64_t overloads = 0; ///< Answers 429 and 503 of the backend server.
+    std::uint64_t failed = 0; ///< Other answers of 500 and above, and broken exchanges.
+};
+
+class forwarder {
+public:
+    using handler = std::function<void(result<http_reply>)>;
+
+    forwarder(std::string service, unsigned slots, unsigned connections, timer_service& timers,
+        backend_client& backend, const agent_view& view);
+    ~forwarder();
+    forwarder(const forwarder&) = delete;
+    forwarder& operator=(const forwarder&) = delete;
+
+    /// @brief Forwards @p request, or queues it until its deadline, or refuses it with `not-run`.
+    void dispatch(backend_request request, handler done);
+
+    [[nodiscard]] unsigned running() const { return m_admission.running(); }
+    [[nodiscard]] unsigned queued() const { return m_admission.waiting(); }
+    [[nodiscard]] bool idle() const { return running() == 0 && queued() == 0; }
+    [[nodiscard]] bool backendHealthy() const { return m_healthy; }
+    [[nodiscard]] const forwarder_counters& counters() const { return m_counters; }
+
+    /// @brief Called when the health of the backend server changes.
+    void onHealthChange(std::function<void()> handler) { m_healthChanged = std::move(handler); }
+
+private:
+    struct accepted {
+        backend_request request;
+        time_point deadline;
+        handler done;
+    };
+
+    [[nodiscard]] std::optional<failure> refusal(const backend_request& request) const;
+    void refuse(const backend_request& request, const failure& reason, const handler& done);
+    void send(admission::ticket ticket);
+    void answered(admission::ticket ticket, const result<http_reply>& reply);
+    void tick();
+    void sendWaiting();
+    void probe();
+    void probed(const result<http_reply>& reply);
+
+    std::string m_service;
+    timer_service& m_timers;
+    backend_client& m_backend;
+    const agent_view& m_view;
+    admission m_admission;
+    std::map<admission::ticket, accepted> m_accepted;
+    admission::ticket m_nextTicket = 1;
+    bool m_healthy = false;
+    bool m_probing = false;
+    unsigned m_failedProbes = 0;
+    forwarder_counters m_counters;
+    std::function<void()> m_healthChanged;
+    std::shared_ptr<bool> m_alive;
+    timer_service::subscription_id m_tick = 0;
+    timer_service::subscription_id m_probe = 0;
+};
+
+} // namespace oriole
--- /dev/null
+++ b/lib/liboriole/source/agent/agent_process.cpp
@@ -0,0 +1,140 @@
+#include <oriole/agent/agent_process.hpp>
+#include <oriole/agent/agent_server.hpp>
+#include <oriole/agent/entry_links.hpp>
+#include <oriole/agent/rpc_peer_gateway.hpp>
+#include <oriole/helpers/log.hpp>
+#include <oriole/runtime/http_runtime_client.hpp>
+
+#include <random>
+#include <utility>
+
+namespace oriole {
+
+namespace {
+
+constexpr milliseconds stopCheckPeriod { 20 };
+constexpr milliseconds stopGrace { 2000 };
+// From when nothing runs any more to when the process ends even if ends are not acknowledged.
+constexpr milliseconds acknowledgePatience { 3000 };
+constexpr milliseconds taskPatience { 8000 };
+
+std::uint64_t randomIncarnation()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+/// @brief All parts of a running agent.
+class agent_process {
+public:
+    explicit agent_process(const agent_settings& settings);
+
+    int run();
+
+private:
+    [[nodiscard]] agent_report report() const;
+    void beginStop();
+    void checkStop();
+
+    agent_settings m_settings;
+    event_loop m_loop;
+    agent_view m_view;
+    http_runtime_client m_runtime;
+    rpc_peer_gateway m_peers;
+    http_backend_client m_backend;
+    task_manager m_tasks;
+    forwarder m_requests;
+    rpc::Agent::Client m_agent;
+    entry_links m_links;
+    time_point m_stopBegan;
+    std::optional<time_point> m_quietSince;
+};
+
+agent_process::agent_process(const agent_settings& settings)
+    : m_settings(settings)
+    , m_view(settings.failureDomain)
+    , m_runtime(settings.runtime)
+    , m_peers(m_loop)
+    , m_backend(settings.backend, settings.slots)
+    , m_tasks(settings.worker, settings.accelerators, m_loop.timers(), m_runtime, m_peers, m_view)
+    , m_requests(settings.service, settings.slots, settings.connections, m_loop.timers(), m_backend, m_view)
+    , m_agent(kj::heap<agent_server>(m_requests, m_tasks, m_view, [this] { m_links.wake(); }))
+    , m_links(
+          m_loop, workerInfo(settings, randomIncarnation()), settings.seeds, m_view, m_agent,
+          [this] { return report(); }, [this](const auto& ids) { m_tasks.acknowledge(ids); })
+{
+    m_view.onChange([this] { m_tasks.viewChanged(); });
+    m_tasks.onChange([this] { m_links.wake(); });
+    m_requests.onHealthChange([this] { m_links.wake(); });
+}
+
+int agent_process::run()
+{
+    // Seeds are asked by the links' own ticks; calls that come before the tasks are recovered are refused.
+    bool bound = true;
+    m_loop.detach("listen", rpc::serve(m_loop, m_settings.rpc, m_agent).catch_([&](kj::Exception&& error) {
+        logEvent(log_level::Error, "listen_failed",
+            { { "address", toString(m_settings.rpc) }, { "error", error.getDescription().cStr() } });
+        bound = false;
+        m_loop.stop();
+    }));
+    m_tasks.recover();
+    m_loop.onStopSignal([this] { beginStop(); });
+    logEvent(log_level::Info, "agent_started",
+        { { "worker", m_settings.worker }, { "rpc", toString(m_settings.rpc) },
+            { "failure_domain", m_settings.failureDomain } });
+    m_loop.run();
+    logEvent(log_level::Info, "agent_stopped");
+    return bound ? 0 : 1;
+}
+
+agent_report agent_process::report() const
+{
+    agent_report target;
+    target.tasks = m_tasks.reports();
+    target.tasksVersion = m_tasks.version();
+    target.requestsRunning = m_requests.running();
+    target.requestsQueued = m_requests.queued();
+    target.leaving = m_view.leaving();
+    target.backendHealthy = m_requests.backendHealthy();
+    target.failuresInRow = m_tasks.failuresInRow();
+    return target;
+}
+
+void agent_process::beginStop()
+{
+    logEvent(log_level::Info, "agent_stopping",
+        { { "requests_running", m_requests.running() }, { "requests_queued", m_requests.queued() } });
+    m_stopBegan = m_loop.timers().now();
+    m_view.setLeaving();
+    m_links.wake();
+    m_tasks.evictAll(stopGrace, "worker is leaving");
+    m_loop.timers().subscribeEvery(stopCheckPeriod, [this](time_point) { checkStop(); });
+}
+
+void agent_process::checkStop()
+{
+    const auto now = m_loop.timers().now();
+    const bool tasksOver = m_tasks.idle() || now - m_stopBegan > taskPatience;
+    if (!m_requests.idle() || !tasksOver) {
+        m_quietSince.reset();
+        return;
+    }
+
+    if (!m_quietSince.has_value())
+        m_quietSince = now;
+    const bool acknowledged = m_tasks.reports().empty() && m_links.allHeard(m_tasks.version());
+    if (acknowledged || now - *m_quietSince > acknowledgePatience)
+        m_loop.stop();
+}
+
+} // namespace
+
+int runAgent(const agent_settings& settings)
+{
+    startLogging("oriolewayd agent", settings.worker, settings.logLevel);
+    agent_process process(settings);
+    return process.run();
+}
+
+} // namespace oriole
--- /dev/null
+++ b/lib/liboriole/source/agent/rpc_peer_gateway.cpp
@@ -0,0 +1,62 @@
+#include <oriole/agent/rpc_peer_gateway.hpp>
+#include <oriole/rpc/convert.hpp>
+
+#include <utility>
+
+namespace oriole {
+
+namespace {
+
+constexpr milliseconds connectTimeout { 500 };
+constexpr auto callTimeout = 2000 * kj::MILLISECONDS;
+
+} // namespace
+
+rpc_peer_gateway::rpc_peer_gateway(event_loop& loop)
+    : m_loop(loop)
+{
+}
+
+void rpc_peer_gateway::heartbeat(
+    const std::string& rpc, const attempt_id& id, const std::string& worker, task_phase phase, handler done)
+{
+    auto answered = connectionTo(rpc).then([this, id, worker, phase](shared_connection&& peer) {
+        auto& timer = m_loop.io().provider->getTimer();
+        return timer.timeoutAfter(callTimeout, call(peer, id, worker, phase)).attach(std::move(peer));
+    });
+    auto finished = answered.then([done](gang_answer&& answer) { done(std::move(answer)); },
+        [this, rpc, done](kj::Exception&& error) {
+            m_connections.erase(rpc);
+            done(notRun(failure_kind::Unavailable, error.getDescription().cStr()));
+        });
+    m_loop.detach("gang heartbeat", kj::mv(finished));
+}
+
+kj::Promise<rpc_peer_gateway::shared_connection> rpc_peer_gateway::connectionTo(const std::string& rpc)
+{
+    if (const auto known = m_connections.find(rpc); known != m_connections.end())
+        return known->second;
+
+    const auto peer = parseEndpoint(rpc);
+    if (!peer)
+        return KJ_EXCEPTION(FAILED, "no valid address of the lead");
+    return rpc::connect(m_loop, peer.value(), connectTimeout).then([this, rpc](kj::Own<rpc::connection>&& made) {
+        auto shared = std::make_shared<kj::Own<rpc::connection>>(kj::mv(made));
+        m_connections[rpc] = shared;
+        return shared;
+    });
+}
+
+kj::Promise<gang_answer> rpc_peer_gateway::call(
+    const shared_connection& peer, const attempt_id& id, const std::string& worker, task_phase phase)
+{
+    auto request = (*peer)->bootstrap<rpc::Agent>().gangHeartbeatRequest();
+    rpc::write(request.initId(), id);
+    request.setWorker(worker);
+    request.setPhase(rpc::toWire(phase));
+    return request.send().then([](capnp::Response<rpc::Agent::GangHeartbeatResults>&& answer) {
+        return gang_answer { rpc::fromWire(answer.getPhase()), answer.getReason() };
+    });
+}
+
+} // namespace oriole
--- /dev/null
+++ b/tests/unit/agent/mocks.hpp
@@ -0,0 +1,209 @@
+/// @file
+/// @brief Mocks at the interfaces of the agent: a runtime, peers and a backend server without I/O.
+#pragma once
+
+#include <oriole/agent/backend_client.hpp>
+#include <oriole/agent/peer_gateway.hpp>
+#include <oriole/agent/task_manager.hpp>
+#include <oriole/runtime/runtime_client.hpp>
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace oriole::mocks {
+
+/// @brief Delivers answers when told to, as an event loop would.
+class mailbox {
+public:
+    void post(std::function<void()> delivery) { m_queue.push_back(std::move(delivery)); }
+
+    void deliver()
+    {
+        for (auto left = m_queue.size(); left > 0; --left) {
+            const auto next = std::move(m_queue.front());
+            m_queue.pop_front();
+            next();
+        }
+    }
+
+private:
+    std::deque<std::function<void()>> m_queue;
+};
+
+/// @brief A runtime whose tasks end when the test says so.
+class runtime final : public runtime_client {
+public:
+    explicit runtime(mailbox& answers)
+        : m_answers(answers)
+    {
+    }
+
+    void start(const attempt& attempt, const allocation&, std::chrono::milliseconds, handler<runtime_task> done) override
+    {
+        const auto id = toString(attempt.id);
+        if (down) {
+            m_answers.post([done] { done(notRun(failure_kind::Unavailable, "down")); });
+            return;
+        }
+        ++starts[id];
+        if (!tasks.contains(id))
+            tasks[id] = { { id, runtime_state::Running, "", 0 }, attempt };
+        const bool lose = loseStartReplies;
+        m_answers.post([this, id, done, lose] {
+            lose ? done(mayHaveRun(failure_kind::Broken, "reply lost")) : done(tasks.at(id).task);
+        });
+    }
+
+    void renew(const std::vector<std::string>& ids, std::chrono::milliseconds,
+        handler<std::vector<runtime_task>> done) override
+    {
+        ++renewals;
+        std::vector<runtime_task> states;
+        for (const auto& id : ids)
+            states.push_back(tasks.contains(id) ? tasks.at(id).task : runtime_task { id, runtime_state::Unknown, "", 0 });
+        m_answers.post([states, done, lost = down] {
+            lost ? done(notRun(failure_kind::Unavailable, "down")) : done(states);
+        });
+    }
+
+    void checkpoint(const std::string& id, std::chrono::milliseconds, handler<runtime_task> done) override
+    {
+        checkpoints.insert(id);
+        answerTask(id, done);
+    }
+
+    void throttle(const std::string& id, unsigned, handler<runtime_task> done) override
+    {
+        throttled.insert(id);
+        answerTask(id, done);
+    }
+
+    void stop(const std::string& id, handler<runtime_task> done) override
+    {
+        auto& record = tasks[id];
+        record.task.id = id;
+        if (record.task.state == runtime_state::Running || record.task.state == runtime_state::Unknown)
+            record.task.state = runtime_state::Stopped;
+        answerTask(id, done);
+    }
+
+    void forget(const std::string& id, handler<runtime_task> done) override
+    {
+        forgotten.insert(id);
+        answerTask(id, done);
+    }
+
+    void list(handler<std::vector<labelled_task>> done) override
+    {
+        std::vector<labelled_task> all;
+        for (const auto& [id, task] : tasks)
+            all.push_back(task);
+        m_answers.post([all, done] { done(all); });
+    }
+
+    void endTask(const attempt_id& id, runtime_state state) { tasks.at(toString(id)).task.state = state; }
+    [[nodiscard]] bool runs(const attempt_id& id) const
+    {
+        const auto found = tasks.find(toString(id));
+        return found != tasks.end() && found->second.task.state == runtime_state::Running;
+    }
+
+    bool down = false;
+    bool loseStartReplies = false;
+    std::map<std::string, labelled_task> tasks;
+    std::map<std::string, unsigned> starts;
+    std::set<std::string> checkpoints;
+    std::set<std::string> throttled;
+    std::set<std::string> forgotten;
+    unsigned renewals = 0;
+
+private:
+    void answerTask(const std::string& id, const handler<runtime_task>& done)
+    {
+        m_answers.post([this, id, done] {
+            down ? done(notRun(failure_kind::Unavailable, "down")) : done(tasks[id].task);
+        });
+    }
+
+    mailbox& m_answers;
+};
+
+/// @brief Carries gang heartbeats between the agents of a test, by their RPC address.
+class network {
+public:
+    explicit network(mailbox& answers)
+        : m_answers(answers)
+    {
+    }
+
+    class gateway final : public peer_gateway {
+    public:
+        gateway(network& net, std::string self)
+            : m_net(net)
+            , m_self(std::move(self))
+        {
+        }
+
+        void heartbeat(const std::string& rpc, const attempt_id& id, const std::string& worker, task_phase phase,
+            handler done) override
+        {
+            m_net.carry(m_self, rpc, id, worker, phase, std::move(done));
+        }
+
+    private:
+        network& m_net;
+        std::string m_self;
+    };
+
+    std::map<std::string, task_manager*> agents;
+    std::set<std::string> cut; ///< Addresses that nothing reaches or leaves.
+
+private:
+    void carry(const std::string& from, const std::string& to, const attempt_id& id, const std::string& worker,
+        task_phase phase, const peer_gateway::handler& done)
+    {
+        m_answers.post([this, from, to, id, worker, phase, done] {
+            if (cut.contains(from) || cut.contains(to) || agents[to] == nullptr) {
+                done(notRun(failure_kind::Unavailable, "cut"));
+                return;
+            }
+            agents[to]->gangHeartbeat(id, worker, phase, [this, from, to, done](const result<gang_answer>& answer) {
+                m_answers.post([this, from, to, done, answer] {
+                    if (cut.contains(from) || cut.contains(to))
+                        done(notRun(failure_kind::Unavailable, "cut"));
+                    else
+                        done(answer);
+                });
+            });
+        });
+    }
+
+    mailbox& m_answers;
+};
+
+/// @brief A backend server whose answers the test gives.
+class backend final : public backend_client {
+public:
+    void send(const http_request& request, std::chrono::milliseconds, handler done) override
+    {
+        sent.push_back(request);
+        waiting.push_back(std::move(done));
+    }
+
+    void probe(std::chrono::milliseconds, handler done) override { probes.push_back(std::move(done)); }
+
+    void answerProbes(const result<http_reply>& reply)
+    {
+        const auto all = std::move(probes);
+        probes.clear();
+        for (const auto& done : all)
+            done(reply);
+    }
+
+    std::vector<http_request> sent;
+    std::deque<handler> waiting;
+    std::vector<handler> probes;
+};
+
+} // namespace oriole::mocks
