--- a/lib/liboriole/include/oriole/entry/entry_settings.hpp
+++ b/lib/liboriole/include/oriole/entry/entry_settings.hpp
@@ -2,6 +2,7 @@
 /// @brief Settings of an entry, from flags and environment variables.
 #pragma once
 
+#include <oriole/api/result.hpp>
 #include <oriole/core/policy.hpp>
 #include <oriole/helpers/log.hpp>
 #include <oriole/http/http_client.hpp>
@@ -25,4 +26,8 @@
     log_level logLevel = log_level::Info;
 };
 
+/// @brief Checks what the command line cannot, and fills in the advertised address.
+/// @return The settings, or InvalidInput that names the flag and the value.
+result<entry_settings> checkEntrySettings(entry_settings settings);
+
 } // namespace oriole
--- /dev/null
+++ b/lib/liboriole/source/entry/entry_settings.cpp
@@ -0,0 +1,40 @@
+#include <oriole/entry/entry_settings.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+namespace oriole {
+
+namespace {
+
+failure invalid(const std::string& flag, const std::string& value, const std::string& reason)
+{
+    return notRun(failure_kind::InvalidInput, flag + " '" + value + "': " + reason);
+}
+
+// Names become part of keys in the store.
+bool isKeyPart(const std::string& name)
+{
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char c) {
+        return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+    });
+}
+
+} // namespace
+
+result<entry_settings> checkEntrySettings(entry_settings settings)
+{
+    if (!isKeyPart(settings.name))
+        return invalid("--name", settings.name, "letters, digits, '-', '_' and '.' are allowed");
+    if (!isKeyPart(settings.environment))
+        return invalid("--environment", settings.environment, "letters, digits, '-', '_' and '.' are allowed");
+    if (settings.rpc.port == 0)
+        return invalid("--rpc", toString(settings.rpc), "must have a port");
+    if (settings.http.port == 0)
+        return invalid("--http", toString(settings.http), "must have a port");
+    if (settings.advertisedRpc.port == 0)
+        settings.advertisedRpc = settings.rpc;
+    return settings;
+}
+
+} // namespace oriole
--- a/main/oriolewayd/source/main.cpp
+++ b/main/oriolewayd/source/main.cpp
@@ -75,6 +75,13 @@
     CLI::App& m_command;
 };
 
+oriole::result<oriole::policy> parsePolicyFlag(const std::string& text)
+{
+    if (const auto chosen = oriole::parsePolicy(text))
+        return *chosen;
+    return oriole::notRun(oriole::failure_kind::InvalidInput, "'" + text + "' is neither guarantee nor first-fit");
+}
+
 void addEntryFlags(CLI::App& command, oriole::entry_settings& settings)
 {
     flag_set flags(command);
@@ -89,6 +96,7 @@
     flags.add("--failure-domain", settings.failureDomain, "Failure domain of this entry")->required();
     flags.add("--region", settings.region, "Region of this entry")->required();
     flags.addEndpoints("--seed", settings.seeds, "RPC address of another entry; may be repeated");
+    flags.addParsed("--policy", settings.decisions, "How jobs are placed: guarantee or first-fit", parsePolicyFlag);
     flags.addLogLevel(settings.logLevel);
 }
 
@@ -117,6 +125,16 @@
     flags.addLogLevel(settings.logLevel);
 }
 
+int runCheckedEntry(const oriole::entry_settings& settings)
+{
+    const auto checked = oriole::checkEntrySettings(settings);
+    if (!checked) {
+        std::cerr << checked.error().reason << '\n';
+        return exitBadSettings;
+    }
+    return oriole::runEntry(checked.value());
+}
+
 int runCheckedAgent(const oriole::agent_settings& settings)
 {
     const auto checked = oriole::checkAgentSettings(settings);
@@ -147,5 +165,5 @@
     } catch (const CLI::ParseError& error) {
         return app.exit(error) == 0 ? 0 : exitBadSettings;
     }
-    return entryCommand->parsed() ? oriole::runEntry(entry) : runCheckedAgent(agent);
+    return entryCommand->parsed() ? runCheckedEntry(entry) : runCheckedAgent(agent);
 }
