--- a/lib/liboriole/include/oriole/entry/job_driver.hpp
+++ b/lib/liboriole/include/oriole/entry/job_driver.hpp
@@ -84,6 +84,7 @@
         bool toldRunning = false;
         std::string refusedBy;
         std::string reason;
+        std::uint64_t leadIncarnation = 0; ///< A lead that restarted cannot say what it told the members before.
         time_point leadHeard;
         std::optional<time_point> runningSince;
     };
@@ -98,6 +99,7 @@
     void releaseMembers(const attempt& value, const std::string& reason);
     void leadReported(const attempt_id& id, const task_report& report);
     void finish(const attempt_id& id, attempt_outcome outcome, bool mayHaveRun, const std::string& worker);
+    [[nodiscard]] std::uint64_t incarnationOf(const std::string& worker) const;
     [[nodiscard]] std::string failedWorker(const attempt& value) const;
 
     gang_gateway& m_agents;
--- a/lib/liboriole/source/entry/job_driver.cpp
+++ b/lib/liboriole/source/entry/job_driver.cpp
@@ -82,6 +82,7 @@
     auto& active = m_attempts[value.id];
     active.value = value;
     active.answersMissing = static_cast<unsigned>(value.allocations.size());
+    active.leadIncarnation = incarnationOf(leadOf(value));
     active.leadHeard = m_timers.now();
 
     // The handlers may run at once and end the attempt: work on a copy.
@@ -235,10 +236,13 @@
 
     auto& active = found->second;
     --active.answersMissing;
-    // The lead alone can say that nobody was told to start.
-    if (reports && worker == leadOf(active.value) && active.mayHaveRun) {
-        active.mayHaveRun = std::any_of(reports.value().begin(), reports.value().end(),
-            [&](const auto& report) { return report.attempt.id == id && report.mayHaveRun; });
+    // The lead alone can say that nobody was told to start, if it is still the process that took the commit.
+    const bool trusted = worker == leadOf(active.value) && incarnationOf(worker) == active.leadIncarnation;
+    if (reports && trusted) {
+        for (const auto& report : reports.value()) {
+            if (report.attempt.id == id)
+                active.mayHaveRun = active.mayHaveRun && report.mayHaveRun;
+        }
     }
     if (active.answersMissing > 0)
         return;
@@ -340,6 +344,12 @@
     ended.emit(what);
 }
 
+std::uint64_t job_driver::incarnationOf(const std::string& worker) const
+{
+    const auto* record = m_workers.find(worker);
+    return record == nullptr ? 0 : record->info.incarnation;
+}
+
 std::string job_driver::failedWorker(const attempt& value) const
 {
     for (const auto& given : value.allocations) {
