--- a/lib/liboriole/source/agent/agent_server.cpp
+++ b/lib/liboriole/source/agent/agent_server.cpp
@@ -1,6 +1,8 @@
 #include <oriole/agent/agent_server.hpp>
 #include <oriole/rpc/convert.hpp>
 
+#include <kj/debug.h>
+
 #include <memory>
 #include <utility>
 
--- a/lib/liboriole/source/agent/backend_client.cpp
+++ b/lib/liboriole/source/agent/backend_client.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 void submit(worker_pool& pool, const endpoint& peer, http_request request, std::chrono::milliseconds timeout,
-    backend_client::handler done)
+    const backend_client::handler& done)
 {
     auto answer = std::make_shared<result<http_reply>>(notRun(failure_kind::Unavailable, "not sent"));
     auto work = [answer, peer, request = std::move(request), timeout] { *answer = exchange(peer, request, timeout); };
@@ -27,12 +27,12 @@
 
 void http_backend_client::send(const http_request& request, std::chrono::milliseconds timeout, handler done)
 {
-    submit(m_requests, m_backend, request, timeout, std::move(done));
+    submit(m_requests, m_backend, request, timeout, done);
 }
 
 void http_backend_client::probe(std::chrono::milliseconds timeout, handler done)
 {
-    submit(m_probes, m_backend, { "GET", "/healthz", {}, {} }, timeout, std::move(done));
+    submit(m_probes, m_backend, { "GET", "/healthz", {}, {} }, timeout, done);
 }
 
 } // namespace oriole
--- a/lib/liboriole/source/agent/rpc_peer_gateway.cpp
+++ b/lib/liboriole/source/agent/rpc_peer_gateway.cpp
@@ -1,6 +1,8 @@
 #include <oriole/agent/rpc_peer_gateway.hpp>
 #include <oriole/rpc/convert.hpp>
 
+#include <kj/debug.h>
+
 #include <utility>
 
 namespace oriole {
--- a/lib/liboriole/source/runtime/http_runtime_client.cpp
+++ b/lib/liboriole/source/runtime/http_runtime_client.cpp
@@ -53,16 +53,18 @@
     return request;
 }
 
-/// @brief Turns a reply into JSON. A status outside 2xx and 404 means that the runtime refused without an effect.
-result<json> readReply(const result<http_reply>& reply)
+/// @brief Turns a reply into JSON. A status of 4xx means that the runtime refused without an effect; 404 also tells
+/// the state of a task that is not there, which is no answer to a start.
+result<json> readReply(const result<http_reply>& reply, bool isStart)
 {
+    constexpr unsigned notFound = 404;
     if (!reply)
         return reply.error();
 
     auto body = json::parse(reply.value().body, nullptr, false);
     if (reply.value().status >= 500)
         return mayHaveRun(failure_kind::Broken, "runtime answered " + std::to_string(reply.value().status));
-    if (reply.value().status >= 400 && reply.value().status != 404) {
+    if (reply.value().status >= 400 && (isStart || reply.value().status != notFound)) {
         const bool hasReason = body.is_object() && body.contains("reason") && body["reason"].is_string();
         return notRun(failure_kind::Conflict, hasReason ? body["reason"].get<std::string>() : "refused by the runtime");
     }
@@ -82,9 +84,9 @@
 }
 
 template <typename Value, typename Read>
-result<Value> readAs(const result<http_reply>& reply, Read read)
+result<Value> readAs(const result<http_reply>& reply, bool isStart, Read read)
 {
-    const auto body = readReply(reply);
+    const auto body = readReply(reply, isStart);
     if (!body)
         return body.error();
     try {
@@ -119,7 +121,7 @@
 {
     auto answer = std::make_shared<result<Value>>(notRun(failure_kind::Unavailable, "not called"));
     auto work = [answer, peer, request = std::move(request), timeout, read] {
-        *answer = readAs<Value>(exchange(peer, request, timeout), read);
+        *answer = readAs<Value>(exchange(peer, request, timeout), request.method == "PUT", read);
     };
     if (!pool.submit(std::move(work), [answer, done] { done(std::move(*answer)); }))
         done(notRun(failure_kind::Overloaded, "too many calls to the runtime wait"));
--- a/main/oriolewayd/source/main.cpp
+++ b/main/oriolewayd/source/main.cpp
@@ -12,7 +12,7 @@
 
 constexpr int exitBadSettings = 2;
 
-std::string environmentName(std::string flag)
+std::string environmentName(const std::string& flag)
 {
     std::string name = "ORIOLEWAY_";
     for (const char c : flag.substr(2))
--- a/tests/standins/runtime/worker_runtime.cpp
+++ b/tests/standins/runtime/worker_runtime.cpp
@@ -20,6 +20,21 @@
     return parts;
 }
 
+/// @brief Takes a task id and an action apart. The HTTP library has decoded the %2F of the id already.
+std::pair<std::string, std::string> splitTaskPath(std::vector<std::string> parts)
+{
+    static const std::set<std::string> actions { "checkpoint", "stop", "throttle" };
+    std::string action;
+    if (parts.size() > 1 && actions.contains(parts.back())) {
+        action = parts.back();
+        parts.pop_back();
+    }
+    auto id = parts.front();
+    for (std::size_t i = 1; i < parts.size(); ++i)
+        id += "/" + parts[i];
+    return { id, action };
+}
+
 oriole::http_reply answer(unsigned status, const json& body)
 {
     oriole::http_reply reply;
@@ -97,8 +112,10 @@
         return answer(200, renew(name, body));
     if (path[0] != "tasks")
         return answer(404, { { "reason", "no such path" } });
-    if (path.size() >= 2)
-        return handleTask(name, path[1], path.size() > 2 ? path[2] : "", call, body);
+    if (path.size() >= 2) {
+        auto [id, action] = splitTaskPath({ path.begin() + 1, path.end() });
+        return handleTask(name, id, action, call, body);
+    }
 
     const std::lock_guard lock(m_mutex);
     advance();
--- a/tests/unit/agent/mocks.hpp
+++ b/tests/unit/agent/mocks.hpp
@@ -60,6 +60,7 @@
     {
         ++renewals;
         std::vector<runtime_task> states;
+        states.reserve(ids.size());
         for (const auto& id : ids)
             states.push_back(tasks.contains(id) ? tasks.at(id).task : runtime_task { id, runtime_state::Unknown, "", 0 });
         m_answers.post([states, done, lost = down] {
@@ -148,7 +149,7 @@
         void heartbeat(const std::string& rpc, const attempt_id& id, const std::string& worker, task_phase phase,
             handler done) override
         {
-            m_net.carry(m_self, rpc, id, worker, phase, std::move(done));
+            m_net.carry(m_self, rpc, id, worker, phase, done);
         }
 
     private:
