--- a/lib/liboriole/include/oriole/http/http_client.hpp
+++ b/lib/liboriole/include/oriole/http/http_client.hpp
@@ -36,11 +36,18 @@
     std::string body;
 };
 
+/// @brief What makes a reply whole.
+enum class body_check {
+    ProvenLength, ///< A Content-Length equal to the size of the body.
+    UnprovenLength, ///< Chunks are taken too; for callers whose format shows by itself when it is cut short.
+};
+
 /// @brief Sends one request on a connection of its own and reads the whole reply.
 ///
-/// Blocks the calling thread; call it from a worker pool. A reply counts as whole only with a Content-Length
-/// equal to the size of its body.
+/// Blocks the calling thread; call it from a worker pool.
+/// @param check What makes the reply whole; anything else is Broken, `may-have-run`.
 /// @return The reply; a failure with verdict `not-run` only when no connection was made.
-result<http_reply> exchange(const endpoint& peer, const http_request& request, std::chrono::milliseconds timeout);
+result<http_reply> exchange(const endpoint& peer, const http_request& request, std::chrono::milliseconds timeout,
+    body_check check = body_check::ProvenLength);
 
 } // namespace oriole
--- a/lib/liboriole/source/http/http_client.cpp
+++ b/lib/liboriole/source/http/http_client.cpp
@@ -44,7 +44,7 @@
 
 // The library takes a truncated chunked reply, and one without any length, for whole. Only a length that
 // matches proves that nothing is missing.
-result<http_reply> checked(const cxxtools::http::Reply& reply)
+result<http_reply> checked(const cxxtools::http::Reply& reply, body_check check)
 {
     http_reply target;
     target.status = reply.header().httpReturnCode();
@@ -54,6 +54,8 @@
 
     if (target.status < 200)
         return mayHaveRun(failure_kind::Broken, "interim reply in place of a final one");
+    if (check == body_check::UnprovenLength && target.headers.contains("transfer-encoding"))
+        return target;
     if (target.headers.contains("transfer-encoding"))
         return mayHaveRun(failure_kind::Broken, "reply without a provable length");
     const auto length = target.headers.find("content-length");
@@ -93,13 +95,14 @@
     return address.ip + ":" + std::to_string(address.port);
 }
 
-result<http_reply> exchange(const endpoint& peer, const http_request& request, std::chrono::milliseconds timeout)
+result<http_reply> exchange(const endpoint& peer, const http_request& request, std::chrono::milliseconds timeout,
+    body_check check)
 {
     // A new client for each request: the library sends a POST again on a connection that was already open.
     try {
         cxxtools::http::Client client(peer.ip, peer.port);
         client.execute(toLibrary(request), cxxtools::Milliseconds(static_cast<double>(timeout.count())));
-        return checked(client.readBody());
+        return checked(client.readBody(), check);
     } catch (const cxxtools::IOTimeout&) {
         return mayHaveRun(failure_kind::Timeout, "no reply from " + toString(peer) + " in time");
     } catch (const std::exception& error) {
