--- a/lib/liboriole/source/store/etcd_store_client.cpp
+++ b/lib/liboriole/source/store/etcd_store_client.cpp
@@ -20,6 +20,9 @@
 constexpr unsigned httpNotFound = 404;
 constexpr unsigned httpTooManyRequests = 429;
 
+// With less time left than this a call is not sent any more, so that it ends as `not-run`.
+constexpr milliseconds leastTimeToSend { 10 };
+
 enum class call_kind {
     Read,
     Write,
@@ -157,11 +160,15 @@
         const auto id = nextId++;
         auto slot = std::make_shared<exchange_slot>();
         const auto weak = weak_from_this();
-        auto work = [slot, request = std::move(request), peer = store, timeout = options.deadline] {
+        const auto end = loop.timers().now() + options.deadline;
+        auto work = [slot, end, request = std::move(request), peer = store] {
+            const auto begin = std::chrono::steady_clock::now();
+            const auto left = std::chrono::duration_cast<milliseconds>(end - begin);
+            if (left < leastTimeToSend)
+                slot->abandon();
             if (!slot->send())
                 return;
-            const auto begin = std::chrono::steady_clock::now();
-            slot->reply = exchange(peer, request, timeout, body_check::UnprovenLength);
+            slot->reply = exchange(peer, request, left, body_check::UnprovenLength);
             slot->latency = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begin);
         };
         auto completion = [weak, id] {
@@ -184,9 +191,13 @@
     void answered(std::uint64_t id)
     {
         const auto found = pending.find(id);
-        if (found == pending.end() || !found->second.slot->reply)
+        if (found == pending.end())
             return;
         const auto slot = found->second.slot;
+        if (!slot->reply) {
+            finishUnsent(id);
+            return;
+        }
         count(*slot->reply, slot->latency);
         finish(id, std::move(*slot->reply));
     }
@@ -196,13 +207,19 @@
         const auto found = pending.find(id);
         if (found == pending.end())
             return;
-        const bool neverSent = found->second.slot->abandon();
+        if (found->second.slot->abandon()) {
+            finishUnsent(id);
+            return;
+        }
         breaker.failed(loop.timers().now());
         logHealth();
-        if (neverSent)
-            finish(id, notRun(failure_kind::Timeout, "no thread was free for the store call in time"));
-        else
-            finish(id, mayHaveRun(failure_kind::Timeout, "no reply from the store in time"));
+        finish(id, mayHaveRun(failure_kind::Timeout, "no reply from the store in time"));
+    }
+
+    void finishUnsent(std::uint64_t id)
+    {
+        breaker.dropped();
+        finish(id, notRun(failure_kind::Timeout, "no thread was free for the store call in time"));
     }
 
     void finish(std::uint64_t id, result<http_reply> reply)
--- a/tests/unit/store/etcd_store_client_test.cpp
+++ b/tests/unit/store/etcd_store_client_test.cpp
@@ -42,6 +42,35 @@
     return [status, body](const oriole::http_call&) { return oriole::http_reply { status, {}, body }; };
 }
 
+/// @brief Holds callers back until it is opened.
+class gate {
+public:
+    void wait()
+    {
+        std::unique_lock lock(m_mutex);
+        m_opened.wait(lock, [this] { return m_open; });
+    }
+
+    void open()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_open = true;
+        m_opened.notify_all();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_opened;
+    bool m_open = false;
+};
+
+/// @brief Opens a gate at the end of a scope, so that a failed check cannot leave a server waiting.
+struct gate_opener {
+    ~gate_opener() { target.open(); }
+
+    gate& target;
+};
+
 } // namespace
 
 TEST_CASE("a write that the store applied is told as applied")
@@ -104,29 +133,22 @@
 
 TEST_CASE("a call without a reply ends at its deadline: sent may have run, still queued has not")
 {
-    std::mutex mutex;
-    std::condition_variable released;
-    bool open = false;
+    gate replies;
     oriole::http_server server(storeAddress, {}, [&](const oriole::http_call&) {
-        std::unique_lock lock(mutex);
-        released.wait(lock, [&] { return open; });
+        replies.wait();
         return oriole::http_reply { 200, {}, "{}" };
     });
-    {
-        oriole::event_loop loop;
-        oriole::etcd_store_options options;
-        options.deadline = 100ms;
-        options.threads = 1;
-        oriole::etcd_store_client client(loop, storeAddress, options);
-        std::optional<oriole::result<oriole::cas_outcome>> sent;
-        client.compareAndSwap({ { "/k", 0, "v", 0 } }, [&](auto answer) { sent = std::move(answer); });
-        const auto queued = swapOnce(loop, client);
-        REQUIRE(sent.has_value());
-        REQUIRE(sent->error().ran == oriole::verdict::MayHaveRun);
-        REQUIRE(queued.error().ran == oriole::verdict::NotRun);
-        REQUIRE(queued.error().kind == oriole::failure_kind::Timeout);
-    }
-    const std::lock_guard lock(mutex);
-    open = true;
-    released.notify_all();
+    const gate_opener opener { replies };
+    oriole::event_loop loop;
+    oriole::etcd_store_options options;
+    options.deadline = 100ms;
+    options.threads = 1;
+    oriole::etcd_store_client client(loop, storeAddress, options);
+    std::optional<oriole::result<oriole::cas_outcome>> sent;
+    client.compareAndSwap({ { "/k", 0, "v", 0 } }, [&](auto answer) { sent = std::move(answer); });
+    const auto queued = swapOnce(loop, client);
+    REQUIRE(sent.has_value());
+    REQUIRE(sent->error().ran == oriole::verdict::MayHaveRun);
+    REQUIRE(queued.error().ran == oriole::verdict::NotRun);
+    REQUIRE(queued.error().kind == oriole::failure_kind::Timeout);
 }
