--- a/lib/liboriole/source/store/etcd_store_client.cpp
+++ b/lib/liboriole/source/store/etcd_store_client.cpp
@@ -121,7 +121,7 @@
     template <typename Value>
     void call(call_kind kind, http_request request, result<Value> (*parse)(const std::string&), handler<Value> done)
     {
-        auto finish = [kind, parse, done = std::move(done)](const result<http_reply>& reply) {
+        std::function<void(result<http_reply>)> finish = [kind, parse, done = std::move(done)](const result<http_reply>& reply) {
             if (reply.has_error()) {
                 done(failureOf(kind, reply.error()));
                 return;
--- a/tests/unit/store/etcd_store_client_test.cpp
+++ b/tests/unit/store/etcd_store_client_test.cpp
@@ -37,7 +37,7 @@
     return await<oriole::store_entry>(loop, [&](auto done) { client.get("/k", done); });
 }
 
-oriole::http_server::handler always(unsigned status, std::string body)
+oriole::http_server::handler always(unsigned status, const std::string& body)
 {
     return [status, body](const oriole::http_call&) { return oriole::http_reply { status, {}, body }; };
 }
