--- a/lib/liboriole/include/oriole/control/control_store.hpp
+++ b/lib/liboriole/include/oriole/control/control_store.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <oriole/control/control_state.hpp>
+#include <oriole/helpers/timer_service.hpp>
 #include <oriole/store/store_client.hpp>
 
 #include <cstdint>
@@ -38,13 +39,20 @@
     template <typename Value>
     using handler = store_client::handler<Value>;
 
-    control_store(store_client& store, std::string environment);
+    /// @param timers With it, steps that failed are repeated after a delay; without it, at once. Handlers of calls
+    /// under way when this object is destroyed are dropped.
+    control_store(store_client& store, std::string environment, timer_service* timers = nullptr);
+    ~control_store();
+    control_store(const control_store&) = delete;
+    control_store& operator=(const control_store&) = delete;
 
     /// @brief Reads the whole control prefix in one call.
     void read(handler<control_snapshot> done);
 
     /// @brief Accepts a configuration if @p expectedRevision is the one in force; the new one is that plus one.
     ///
+    /// A document that is not valid, is of another environment or promises more than the declared capacity is refused
+    /// at once, inside the call.
     /// After a lost reply it reads back and recognises its own write by a write id, so that `done` never reports a
     /// failure for a write that took effect, unless the store stays unreachable (then `may-have-run`).
     /// @return Through @p done the new head; Conflict names the revision and author that came first.
@@ -61,8 +69,8 @@
     void announceEntry(const entry_address& entry, std::int64_t lease, handler<bool> done);
 
 private:
-    store_client& m_store;
-    std::string m_environment;
+    struct state;
+    std::shared_ptr<state> m_state;
 };
 
 } // namespace oriole
