--- a/tests/integration/agent_fixture.hpp
+++ b/tests/integration/agent_fixture.hpp
@@ -9,6 +9,7 @@
 #include <oriole/rpc/connection.hpp>
 #include <oriole/rpc/convert.hpp>
 
+#include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include <map>
@@ -202,6 +203,34 @@
         return message.send();
     }
 
+    /// @brief Reserves and commits a job whose tasks never end, and waits for its start.
+    attempt startEndless(const std::string& name, unsigned workers)
+    {
+        const auto job = makeAttempt(name, workers, R"({"standin_never_ends":true})");
+        const auto before = countEvents("start");
+        for (unsigned i = 0; i < workers; ++i)
+            REQUIRE(reserve(i, job));
+        for (unsigned i = 0; i < workers; ++i)
+            REQUIRE(commit(i, job));
+        REQUIRE(wait([&] { return countEvents("start") == before + workers; }));
+        return job;
+    }
+
+    /// @brief The phase in which @p at last reported the attempt.
+    std::optional<task_phase> phase(unsigned at, const attempt_id& id)
+    {
+        for (const auto& report : worker(at).tasks) {
+            if (report.attempt.id == id)
+                return report.phase;
+        }
+        return std::nullopt;
+    }
+
+    bool waitForEnd(unsigned at, const attempt_id& id, task_phase end)
+    {
+        return wait([&] { return phase(at, id) == end; });
+    }
+
     /// @brief Reads JSON from a stand-in.
     static nlohmann::json get(const endpoint& peer, const std::string& path)
     {
--- a/tests/integration/agent_test.cpp
+++ b/tests/integration/agent_test.cpp
@@ -38,18 +38,12 @@
 {
     agent_fixture all(2);
     REQUIRE(all.waitReady());
-    const auto job = all.makeAttempt("j", 2, R"({"standin_never_ends":true})");
-    REQUIRE(all.reserve(0, job));
-    REQUIRE(all.reserve(1, job));
-    REQUIRE(all.commit(0, job));
-    REQUIRE(all.commit(1, job));
-    REQUIRE(all.wait([&] { return all.countEvents("start") == 2; }));
+    const auto job = all.startEndless("j", 2);
 
     all.entry.acknowledge = false;
     all.agents[1]->kill();
     REQUIRE(all.wait([&] { return all.countEvents("stop") + all.countEvents("expire") == 2; }));
-    REQUIRE(all.wait([&] { return !all.worker(0).tasks.empty() && isEnd(all.worker(0).tasks[0].phase); }));
-    REQUIRE(all.worker(0).tasks[0].phase == task_phase::Lost);
+    REQUIRE(all.waitForEnd(0, job.id, task_phase::Lost));
     REQUIRE(all.worker(0).tasks[0].mayHaveRun);
 }
 
@@ -85,3 +79,106 @@
     REQUIRE(all.wait([&] { return !all.agents[0]->running(); }));
     REQUIRE(all.agents[0]->waitForExit() == 0);
 }
+
+TEST_CASE("agent: a member frozen before its commit is heard starts nothing when it thaws")
+{
+    agent_fixture all(2);
+    REQUIRE(all.waitReady());
+    all.entry.acknowledge = false;
+    const auto job = all.makeAttempt("j", 2, R"({"standin_never_ends":true})");
+    REQUIRE(all.reserve(0, job));
+    REQUIRE(all.reserve(1, job));
+    all.agents[1]->freeze();
+    REQUIRE(all.commit(0, job));
+    auto request = all.agent(1).commitRequest();
+    rpc::write(request.initId(), job.id);
+    request.setEpoch(job.epoch);
+    const auto pending = request.send();
+
+    REQUIRE(all.waitForEnd(0, job.id, task_phase::Released));
+    REQUIRE_FALSE(all.worker(0).tasks[0].mayHaveRun);
+    all.agents[1]->thaw();
+    REQUIRE(all.waitForEnd(1, job.id, task_phase::Released));
+    REQUIRE_FALSE(all.worker(1).tasks[0].mayHaveRun);
+    REQUIRE(all.countEvents("start") == 0);
+}
+
+TEST_CASE("agent: a running member frozen past its lease ends the gang everywhere and reports it when it thaws")
+{
+    agent_fixture all(2);
+    REQUIRE(all.waitReady());
+    all.entry.acknowledge = false;
+    const auto job = all.startEndless("j", 2);
+    all.agents[1]->freeze();
+    REQUIRE(all.waitForEnd(0, job.id, task_phase::Lost));
+    REQUIRE(all.wait([&] { return all.countEvents("expire") == 1; }));
+    all.agents[1]->thaw();
+    REQUIRE(all.waitForEnd(1, job.id, task_phase::Lost));
+    REQUIRE(all.countEvents("start") == 2);
+    REQUIRE(all.countEvents("stop") == 1);
+}
+
+TEST_CASE("agent: a guaranteed reservation evicts a borrowed gang from all its workers")
+{
+    agent_fixture all(2);
+    REQUIRE(all.waitReady());
+    all.entry.acknowledge = false;
+    const auto borrowed = all.startEndless("borrowed", 2);
+    auto guaranteed = all.makeAttempt("guaranteed", 1);
+    guaranteed.guaranteed = true;
+    REQUIRE(all.reserve(0, guaranteed, true));
+    REQUIRE(all.waitForEnd(0, borrowed.id, task_phase::Evicted));
+    REQUIRE(all.waitForEnd(1, borrowed.id, task_phase::Evicted));
+    REQUIRE(all.countEvents("checkpoint") == 2);
+    REQUIRE(all.commit(0, guaranteed));
+    REQUIRE(all.wait([&] { return all.countEvents("finish") == 1; }));
+}
+
+TEST_CASE("agent: a failure domain that a push takes out gets no start and no request")
+{
+    agent_fixture all(1);
+    REQUIRE(all.waitReady());
+    REQUIRE(all.reserve(0, all.makeAttempt("before", 1)));
+    all.entry.state.offer(failure_domain_states { 2, { "fd1" } });
+    auto push = all.agent(0).applyViewRequest();
+    rpc::write(push.initView(), all.entry.state, {}, true, false, 0);
+    REQUIRE(push.send().wait(all.loop.io().waitScope).getRevision().getFailureDomains() == 2);
+
+    REQUIRE_FALSE(all.commit(0, all.makeAttempt("before", 1)));
+    REQUIRE_FALSE(all.reserve(0, all.makeAttempt("after", 1)));
+    const auto refused = all.dispatch(0, "r", "{}").wait(all.loop.io().waitScope);
+    REQUIRE(refused.getReply().getFailure().getVerdict() == rpc::Verdict::NOT_RUN);
+    REQUIRE(all.countEvents("start") == 0);
+}
+
+TEST_CASE("agent: entries that a view names are announced to as well")
+{
+    agent_fixture all(1);
+    REQUIRE(all.waitReady());
+    played_entry second;
+    const auto address = freeEndpoint();
+    rpc::serve(all.loop, address, kj::heap<played_entry_server>(second)).wait(all.loop.io().waitScope);
+    all.entry.entries = { { "e2", toString(address), "r1" } };
+    REQUIRE(all.wait([&] { return second.workers["w0"].heartbeats > 0; }));
+}
+
+TEST_CASE("agent: what waited for a frozen agent is refused when its control view has become stale")
+{
+    agent_fixture all(1);
+    REQUIRE(all.waitReady());
+    REQUIRE(all.reserve(0, all.makeAttempt("j", 1)));
+    all.agents[0]->freeze();
+    auto dispatched = all.dispatch(0, "r", "{}");
+    auto commit = all.agent(0).commitRequest();
+    rpc::write(commit.initId(), all.makeAttempt("j", 1).id);
+    commit.setEpoch(1);
+    auto committed = commit.send();
+    all.entry.state.offer(failure_domain_states { 2, { "fd1" } });
+    all.loop.after(milliseconds(2500)).wait(all.loop.io().waitScope);
+
+    all.agents[0]->thaw();
+    REQUIRE(dispatched.wait(all.loop.io().waitScope).getReply().isFailure());
+    REQUIRE_FALSE(committed.wait(all.loop.io().waitScope).getAccepted());
+    REQUIRE(agent_fixture::get(all.backends[0], "/standin/executions").at("total") == 0);
+    REQUIRE(all.countEvents("start") == 0);
+}
--- a/tests/unit/agent/ledger_test.cpp
+++ b/tests/unit/agent/ledger_test.cpp
@@ -25,8 +25,6 @@
 /// @brief What the oracle of the fuzz expects; simple and without any of the ledger's indexes.
 struct ledger_model {
     std::uint64_t epoch = 0;
-    std::set<attempt_id> saidNotRun; ///< Released or refused as not run.
-    std::set<attempt_id> started;
 };
 
 struct ledger_system {
@@ -53,9 +51,10 @@
     return { "org", std::string(1, *rc::gen::inRange('a', 'e')), *rc::gen::inRange(1U, 4U) };
 }
 
-std::uint64_t anyEpoch()
+std::uint64_t anyEpoch(const ledger_model& model)
 {
-    return *rc::gen::inRange<std::uint64_t>(1, 4);
+    const auto change = *rc::gen::weightedElement<int>({ { 8, 0 }, { 1, 1 }, { 1, -1 } });
+    return change < 0 && model.epoch > 1 ? model.epoch - 1 : std::max<std::uint64_t>(model.epoch, 1) + (change > 0);
 }
 
 /// @brief One message or event of any kind, in any order, repeated at will.
@@ -66,6 +65,7 @@
         Release,
         Fence,
         Start,
+        Run, ///< Reserve, commit and start at once, so that histories get deep.
         End,
         Acknowledge,
         Pass,
@@ -74,11 +74,11 @@
         Count
     };
 
-    explicit ledger_step(const ledger_model&)
+    explicit ledger_step(const ledger_model& model)
     {
         what = static_cast<kind>(*rc::gen::inRange(0, static_cast<int>(kind::Count)));
         id = anyId();
-        epoch = anyEpoch();
+        epoch = anyEpoch(model);
         // The shape of an attempt follows from its id, as in the product.
         wanted = makeAttempt(id.job, id.number, 1ULL + (static_cast<unsigned>(id.job[0]) * 7 + id.number) % 15,
             (static_cast<unsigned>(id.job[0]) + id.number) % 3 == 0);
@@ -88,7 +88,8 @@
 
     void apply(ledger_model& model) const override
     {
-        if (what == kind::Reserve || what == kind::Commit || what == kind::Release || what == kind::Fence)
+        if (what == kind::Reserve || what == kind::Commit || what == kind::Release || what == kind::Fence
+            || what == kind::Run)
             model.epoch = std::max(model.epoch, epoch);
     }
 
@@ -105,6 +106,7 @@
             RC_ASSERT(!stale || refused);
             RC_ASSERT(answer.epoch >= model.epoch);
             RC_ASSERT(refused || !released.contains(id));
+            RC_ASSERT(refused || !out || before != nullptr);
             for (const auto& victim : answer.evict)
                 RC_ASSERT(!subject.find(victim)->attempt.guaranteed && wanted.guaranteed && evict);
             if (!refused)
@@ -115,6 +117,7 @@
             const auto answer = subject.commit(id, epoch, system.now);
             RC_ASSERT(!stale || !answer.accepted);
             RC_ASSERT(!answer.accepted || !released.contains(id));
+            RC_ASSERT(!answer.accepted || !out || couldRun);
             RC_ASSERT(subject.commit(id, epoch, system.now).accepted == answer.accepted);
             break;
         }
@@ -130,6 +133,10 @@
         case kind::Fence:
             RC_ASSERT(subject.fence("org", epoch) == std::max(epoch, model.epoch));
             break;
+        case kind::Run:
+            subject.reserve(wanted, ttl, evict, system.now);
+            subject.commit(id, epoch, system.now);
+            [[fallthrough]];
         case kind::Start:
             if (subject.allowStart(id)) {
                 RC_ASSERT(!released.contains(id));
@@ -218,6 +225,22 @@
     REQUIRE(subject.commit(guaranteed.id, 1, now).accepted);
 }
 
+TEST_CASE("a reservation waits for every task that it evicts")
+{
+    ledger subject("w", 8);
+    for (const auto& borrowed : { makeAttempt("a", 1, 0x0f), makeAttempt("b", 1, 0xf0) }) {
+        subject.reserve(borrowed, 1s, false, {});
+        subject.commit(borrowed.id, 1, {});
+        REQUIRE(subject.allowStart(borrowed.id));
+    }
+    const auto guaranteed = makeAttempt("guaranteed", 1, 0xff, true);
+    REQUIRE(subject.reserve(guaranteed, 1s, true, {}).evict.size() == 2);
+    subject.end({ "org", "a", 1 }, task_phase::Evicted, "");
+    REQUIRE(subject.find(guaranteed.id)->waiting);
+    subject.end({ "org", "b", 1 }, task_phase::Evicted, "");
+    REQUIRE_FALSE(subject.find(guaranteed.id)->waiting);
+}
+
 TEST_CASE("an expired reservation is released and stays so")
 {
     ledger subject("w", 8);
