--- a/tests/integration/agent_fixture.hpp
+++ b/tests/integration/agent_fixture.hpp
@@ -206,7 +206,7 @@
     /// @brief Reserves and commits a job whose tasks never end, and waits for its start.
     attempt startEndless(const std::string& name, unsigned workers)
     {
-        const auto job = makeAttempt(name, workers, R"({"standin_never_ends":true})");
+        auto job = makeAttempt(name, workers, R"({"standin_never_ends":true})");
         const auto before = countEvents("start");
         for (unsigned i = 0; i < workers; ++i)
             REQUIRE(reserve(i, job));
--- a/tests/unit/agent/forwarder_test.cpp
+++ b/tests/unit/agent/forwarder_test.cpp
@@ -18,9 +18,9 @@
 
     void hear(bool out)
     {
-        rc_view.failureDomains.revision += 1;
-        rc_view.failureDomains.out = out ? std::set<std::string> { "fd1" } : std::set<std::string> {};
-        view.apply(rc_view, timers.now());
+        controlView.failureDomains.revision += 1;
+        controlView.failureDomains.out = out ? std::set<std::string> { "fd1" } : std::set<std::string> {};
+        view.apply(controlView, timers.now());
     }
 
     void dispatch(const std::string& id, milliseconds deadline = 1000ms)
@@ -34,7 +34,7 @@
     timer_service timers { time_point {} + 1h };
     mocks::backend backend;
     agent_view view { "fd1" };
-    rpc::control_view rc_view { 0, true, false, {}, { 0, {} }, nullptr };
+    rpc::control_view controlView { 0, true, false, {}, { 0, {} }, nullptr };
     forwarder requests { "column", 2, 4, timers, backend, view };
     std::vector<std::pair<std::string, result<http_reply>>> answers;
 };
