--- a/lib/liboriole/include/oriole/control/control_store.hpp
+++ b/lib/liboriole/include/oriole/control/control_store.hpp
@@ -41,7 +41,7 @@
 
     /// @param timers With it, steps that failed are repeated after a delay; without it, at once. Handlers of calls
     /// under way when this object is destroyed are dropped.
-    control_store(store_client& store, std::string environment, timer_service* timers = nullptr);
+    control_store(store_client& store, const std::string& environment, timer_service* timers = nullptr);
     ~control_store();
     control_store(const control_store&) = delete;
     control_store& operator=(const control_store&) = delete;
--- a/lib/liboriole/source/control/capacity_check.cpp
+++ b/lib/liboriole/source/control/capacity_check.cpp
@@ -146,6 +146,7 @@
             ++missing[{ gang.organisation, gang.guarantee }];
     }
     std::vector<std::string> texts;
+    texts.reserve(missing.size());
     for (const auto& [where, count] : missing)
         texts.push_back(describe(wanted, where.first, where.second, count));
     return texts;
--- a/lib/liboriole/source/control/configuration.cpp
+++ b/lib/liboriole/source/control/configuration.cpp
@@ -158,20 +158,35 @@
     return found == items.end() ? nullptr : &*found;
 }
 
+std::string memberPath(const std::string& path, const std::string& member)
+{
+    return path.empty() ? member : path + "." + member;
+}
+
+std::string elementPath(const std::string& path, const std::string& key)
+{
+    return path + "[" + key + "]";
+}
+
+std::string differenceLine(char sign, const std::string& path, const std::string& value)
+{
+    return std::string(1, sign) + " " + path + ": " + value;
+}
+
 // Elements of arrays are told apart by their names where they have one, so that an insertion does not show as a
 // change of everything behind it.
 void flatten(const json& value, const std::string& path, std::map<std::string, std::string>& lines)
 {
     if (value.is_object() && !value.empty()) {
         for (const auto& [member, inner] : value.items())
-            flatten(inner, path.empty() ? member : path + "." + member, lines);
+            flatten(inner, memberPath(path, member), lines);
         return;
     }
     if (value.is_array() && !value.empty()) {
         for (std::size_t i = 0; i < value.size(); ++i) {
             const bool named = value[i].is_object() && value[i].contains("name") && value[i]["name"].is_string();
             const auto key = named ? value[i]["name"].get<std::string>() : std::to_string(i);
-            flatten(value[i], path + "[" + key + "]", lines);
+            flatten(value[i], elementPath(path, key), lines);
         }
         return;
     }
@@ -227,13 +242,13 @@
     for (const auto& [path, value] : old) {
         const auto found = wanted.find(path);
         if (found == wanted.end())
-            differences.push_back("- " + path + ": " + value);
+            differences.push_back(differenceLine('-', path, value));
         else if (found->second != value)
-            differences.push_back("~ " + path + ": " + value + " -> " + found->second);
+            differences.push_back(differenceLine('~', path, value + " -> " + found->second));
     }
     for (const auto& [path, value] : wanted) {
         if (!old.contains(path))
-            differences.push_back("+ " + path + ": " + value);
+            differences.push_back(differenceLine('+', path, value));
     }
     return differences;
 }
--- a/lib/liboriole/source/control/control_store.cpp
+++ b/lib/liboriole/source/control/control_store.cpp
@@ -393,8 +393,8 @@
 
 } // namespace
 
-control_store::control_store(store_client& store, std::string environment, timer_service* timers)
-    : m_state(std::make_shared<state>(store, std::move(environment), timers))
+control_store::control_store(store_client& store, const std::string& environment, timer_service* timers)
+    : m_state(std::make_shared<state>(store, environment, timers))
 {
 }
 
