Guarantee policy: plan, reclaim, urgent work, fair share, collection, probation, migration

The guarantee plan binds every unused guarantee to a place reclaimable from borrowed work, worked out anew from the reports, so that entries with the same view plan the same cells. A fixed plan per organisation was not taken: it evicts where a free place would do.

--- a/lib/liboriole/include/oriole/core/fleet_room.hpp
+++ b/lib/liboriole/include/oriole/core/fleet_room.hpp
@@ -10,9 +10,6 @@
 
 namespace oriole {
 
-/// @brief Room per worker, in the order of the worker table.
-using fleet_room = std::vector<room_at>;
-
 /// @brief What is free on the workers that may take new work.
 fleet_room freeRoom(const scheduler_tables& tables);
 
--- /dev/null
+++ b/lib/liboriole/include/oriole/core/guarantee_plan.hpp
@@ -0,0 +1,38 @@
+/// @file
+/// @brief Binds every unused guarantee to a place that could be had by evicting borrowed work only.
+#pragma once
+
+#include <oriole/core/place.hpp>
+#include <oriole/core/scheduler.hpp>
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace oriole {
+
+/// @brief A place kept for one unused guarantee of an organisation. Borrowed work may run there.
+struct planned_cell {
+    std::string organisation;
+    std::size_t guarantee = 0; ///< Index in the organisation's policy.
+    place where;
+};
+
+struct guarantee_plan {
+    std::vector<planned_cell> cells;
+    std::vector<uncovered_guarantee> uncovered;
+    std::vector<amounts> planned; ///< Sum of the cells per worker.
+    unsigned unused = 0; ///< Guarantees planned for, covered or not.
+};
+
+/// @brief Plans all unused guarantees at once, large shapes first, in the given room.
+///
+/// Several entries plan from the same reports and get the same cells, so that their starts do not stand in
+/// each other's way.
+/// @param first A shape to be placed before any guarantee of its size; its place is returned in @p firstPlace.
+guarantee_plan planGuarantees(const scheduler_tables& tables, fleet_room room, time_point now, const shape* first = nullptr, place* firstPlace = nullptr);
+
+/// @brief Takes the cell of a guarantee out of the plan.
+void removeCell(guarantee_plan& plan, std::size_t cell);
+
+} // namespace oriole
--- a/lib/liboriole/include/oriole/core/placement.hpp
+++ b/lib/liboriole/include/oriole/core/placement.hpp
@@ -2,7 +2,7 @@
 /// @brief Finds the accelerators for one shape, on one worker or within a rack or failure domain.
 #pragma once
 
-#include <oriole/core/tables.hpp>
+#include <oriole/core/place.hpp>
 
 #include <functional>
 #include <optional>
@@ -11,27 +11,6 @@
 
 namespace oriole {
 
-/// @brief Room that may be used on one worker.
-struct room_at {
-    worker_index worker = 0;
-    amounts room;
-};
-
-/// @brief What a place takes on one worker.
-struct place_part {
-    worker_index worker = 0;
-    amounts taken;
-
-    auto operator<=>(const place_part&) const = default;
-};
-
-/// @brief Where a shape fits. The first part's worker leads the gang.
-struct place {
-    std::vector<place_part> parts;
-    double score = 0; ///< Lower is better.
-    unsigned candidates = 0; ///< Places weighed.
-};
-
 /// @brief Scores taking these accelerators of a worker out of the given room; lower is better.
 using part_scorer = std::function<double(const room_at& from, accelerator_set taken)>;
 
--- a/lib/liboriole/include/oriole/core/tables.hpp
+++ b/lib/liboriole/include/oriole/core/tables.hpp
@@ -4,6 +4,8 @@
 
 #include <oriole/core/commands.hpp>
 #include <oriole/core/events.hpp>
+#include <oriole/core/guarantee_plan.hpp>
+#include <oriole/core/place.hpp>
 #include <oriole/core/run_time_estimate.hpp>
 #include <oriole/helpers/timer_service.hpp>
 
@@ -20,7 +22,6 @@
 
 namespace oriole {
 
-using worker_index = std::uint32_t;
 using group_index = std::uint32_t;
 
 struct attempt_row;
@@ -35,22 +36,15 @@
     bool reported = false; ///< Part of the last report of the worker.
 };
 
-/// @brief Amounts on one worker that are taken, or that are free.
-struct amounts {
-    accelerator_set accelerators = 0;
-    unsigned processors = 0;
-    unsigned memoryGb = 0;
-
-    auto operator<=>(const amounts&) const = default;
-};
-
 struct worker_row {
     worker_info info;
+    std::uint32_t rank = 0; ///< Position in the order of all names, the same at every entry.
     group_index rack = 0;
     group_index domain = 0;
     bool present = false;
     bool leaving = false;
     bool probation = false; ///< Fails what it starts: gets only small probes.
+    time_point nextProbe {}; ///< When the next small job may try a worker on probation.
     bool refused = false; ///< Refused a reservation since its last report.
     unsigned failuresInRow = 0;
     time_point leftAt {}; ///< Since when it is not present.
@@ -62,6 +56,7 @@
 /// @brief A rack or a failure domain.
 struct group_row {
     std::string name;
+    std::uint32_t rank = 0; ///< Position in the order of all names.
     std::vector<worker_index> workers; ///< In the order of their names.
     bool out = false; ///< For failure domains only.
     time_point returnedAt {}; ///< When it came back in.
@@ -101,6 +96,7 @@
     unsigned refusals = 0; ///< In a row.
     unsigned failures = 0;
     std::set<std::string> failedWorkers;
+    time_point avoidUntil {}; ///< Until when it keeps off the workers on which it failed.
     bool cancelled = false;
     bool moving = false; ///< Evicted because its failure domain is out.
     std::uint64_t misfitVersion = 0; ///< State of the fleet at which no place was found; 0 for none.
@@ -124,6 +120,13 @@
     run_time_estimate estimate;
 };
 
+/// @brief A place that is kept free for a large gang until the attempts there have ended.
+struct collection {
+    job_key job;
+    place where;
+    time_point readyAt {}; ///< When the attempts there should have ended.
+};
+
 /// @brief Hash for the attempt table.
 struct attempt_id_hash {
     std::size_t operator()(const attempt_id& id) const noexcept;
@@ -144,6 +147,11 @@
     std::map<job_key, job_row> jobs;
     std::map<std::string, organisation_row> organisations;
     std::set<job_row*> activeJobs;
+    std::vector<collection> collections;
+    guarantee_plan plan;
+    std::uint64_t plannedVersion = 0; ///< Value of @c planVersion that the plan was made for.
+    time_point plannedAt {};
+    bool ranksStale = false;
     std::vector<command> pending; ///< Commands for the next tick.
     std::uint64_t version = 1; ///< Grows whenever something became free or the fleet changed.
     std::uint64_t planVersion = 0; ///< Grows with every change of a holding or of the fleet.
@@ -172,6 +180,9 @@
     void enqueue(job_row& job);
     void dequeue(job_row& job);
 
+    /// @brief Numbers workers and groups by name, when any was added.
+    void rankFleet();
+
     /// @brief True when new work may start on the worker at all.
     [[nodiscard]] bool eligible(const worker_row& worker) const;
 };
@@ -182,7 +193,4 @@
 /// @brief The free amounts of a worker; nothing of it is used.
 amounts freeOf(const worker_row& worker);
 
-/// @brief Set of the first @p count accelerators.
-accelerator_set firstAccelerators(unsigned count);
-
 } // namespace oriole
--- /dev/null
+++ b/lib/liboriole/source/core/borrowed_starts.cpp
@@ -0,0 +1,73 @@
+#include <oriole/core/borrowed_starts.hpp>
+
+#include <oriole/core/job_order.hpp>
+#include <oriole/core/urgent_starts.hpp>
+
+#include <queue>
+#include <tuple>
+
+namespace oriole {
+
+namespace {
+
+/// An organisation with the jobs that it may start, the next one at the back.
+struct contender {
+    double share = 0;
+    const organisation_row* organisation = nullptr;
+    std::vector<job_row*> jobs;
+};
+
+struct later {
+    bool operator()(const contender& left, const contender& right) const
+    {
+        return std::tie(left.share, left.organisation->policy.name) > std::tie(right.share, right.organisation->policy.name);
+    }
+};
+
+using contender_queue = std::priority_queue<contender, std::vector<contender>, later>;
+
+contender_queue contendersOf(const decision_round& round, const fleet_totals& totals)
+{
+    contender_queue queue;
+    for (const auto& [name, organisation] : round.tables.organisations) {
+        if (organisation.waiting.empty())
+            continue;
+        auto jobs = waitingByRank(round, organisation, true);
+        if (jobs.empty())
+            continue;
+        std::reverse(jobs.begin(), jobs.end());
+        queue.push({ borrowedShare(organisation, totals), &organisation, std::move(jobs) });
+    }
+    return queue;
+}
+
+void tryStart(decision_round& round, job_row& job)
+{
+    if (isUrgent(round.tables, job) || !round.mayStart(job))
+        return;
+    if (const auto found = round.findFree(job))
+        round.start(job, *found, { .guaranteed = false, .urgent = false, .evictBorrowed = false, .rule = "best-fit" });
+    else
+        job.misfitVersion = round.tables.version;
+}
+
+} // namespace
+
+void startBorrowed(decision_round& round)
+{
+    const auto totals = totalsOf(round.tables);
+    auto queue = contendersOf(round, totals);
+    while (!queue.empty() && !round.exhausted()) {
+        auto next = queue.top();
+        queue.pop();
+        auto* job = next.jobs.back();
+        next.jobs.pop_back();
+        tryStart(round, *job);
+        if (next.jobs.empty())
+            continue;
+        next.share = borrowedShare(*next.organisation, totals);
+        queue.push(std::move(next));
+    }
+}
+
+} // namespace oriole
--- a/lib/liboriole/source/core/fleet_room.cpp
+++ b/lib/liboriole/source/core/fleet_room.cpp
@@ -1,19 +1,12 @@
 #include <oriole/core/fleet_room.hpp>
 
-#include <algorithm>
-
 namespace oriole {
 
 namespace {
 
-unsigned without(unsigned from, unsigned amount)
-{
-    return from > amount ? from - amount : 0;
-}
-
-amounts remaining(const worker_info& info, const amounts& taken)
+amounts wholeOf(const worker_info& info)
 {
-    return { firstAccelerators(info.accelerators) & ~taken.accelerators, without(info.processors, taken.processors), without(info.memoryGb, taken.memoryGb) };
+    return { firstAccelerators(info.accelerators), info.processors, info.memoryGb };
 }
 
 template <typename taken_of>
@@ -24,7 +17,7 @@
         const auto& worker = tables.workers[index];
         room[index].worker = index;
         if (tables.eligible(worker))
-            room[index].room = remaining(worker.info, taken(worker));
+            room[index].room = remaining(wholeOf(worker.info), taken(worker));
     }
     return room;
 }
@@ -43,10 +36,7 @@
 
 void takeFrom(fleet_room& room, const place_part& part)
 {
-    auto& left = room[part.worker].room;
-    left.accelerators &= ~part.taken.accelerators;
-    left.processors = without(left.processors, part.taken.processors);
-    left.memoryGb = without(left.memoryGb, part.taken.memoryGb);
+    room[part.worker].room = remaining(room[part.worker].room, part.taken);
 }
 
 std::vector<room_at> roomOfGroup(const fleet_room& room, const group_row& group)
--- /dev/null
+++ b/lib/liboriole/source/core/guarantee_system.cpp
@@ -0,0 +1,27 @@
+#include <oriole/core/guarantee_system.hpp>
+
+#include <oriole/core/borrowed_starts.hpp>
+#include <oriole/core/gang_collection.hpp>
+#include <oriole/core/guaranteed_starts.hpp>
+#include <oriole/core/migration.hpp>
+#include <oriole/core/probation.hpp>
+#include <oriole/core/urgent_starts.hpp>
+
+namespace oriole {
+
+void runGuaranteePolicy(scheduler_tables& tables, std::vector<command>& commands, time_point now)
+{
+    updateProbation(tables);
+    decision_round round(tables, commands, now);
+    refreshPlan(round);
+    leaveDomains(round);
+    startGuaranteed(round);
+    startUrgent(round);
+    rampDomains(round);
+    collectForGangs(round);
+    startStarved(round);
+    startBorrowed(round);
+    probeWorkers(round);
+}
+
+} // namespace oriole
--- /dev/null
+++ b/lib/liboriole/source/core/guaranteed_starts.cpp
@@ -0,0 +1,126 @@
+#include <oriole/core/guaranteed_starts.hpp>
+
+#include <oriole/core/eviction_cost.hpp>
+#include <oriole/core/guarantee_use.hpp>
+#include <oriole/core/job_order.hpp>
+#include <oriole/core/placement.hpp>
+
+#include <algorithm>
+
+namespace oriole {
+
+namespace {
+
+constexpr std::chrono::seconds planAge { 1 };
+
+bool cellSuits(const decision_round& round, const planned_cell& cell, const job_row& job)
+{
+    return std::none_of(cell.where.parts.begin(), cell.where.parts.end(), [&](const place_part& part) { return round.avoids(job, part.worker); });
+}
+
+const shape& shapeOf(const scheduler_tables& tables, const planned_cell& cell)
+{
+    return tables.organisations.at(cell.organisation).policy.guarantees[cell.guarantee].shape;
+}
+
+/// The cell of the guarantee; another one of the same shape when the job keeps off that cell's workers.
+std::optional<std::size_t> cellFor(decision_round& round, const job_row& job, std::size_t guarantee)
+{
+    auto& cells = round.tables.plan.cells;
+    const auto own = std::find_if(cells.begin(), cells.end(), [&](const planned_cell& cell) { return cell.guarantee == guarantee && cell.organisation == job.spec.organisation; });
+    if (own == cells.end())
+        return std::nullopt;
+    if (cellSuits(round, *own, job))
+        return static_cast<std::size_t>(own - cells.begin());
+
+    const auto other = std::find_if(cells.begin(), cells.end(), [&](const planned_cell& cell) { return shapeOf(round.tables, cell) == shapeOf(round.tables, *own) && cellSuits(round, cell, job); });
+    if (other == cells.end())
+        return std::nullopt;
+    std::swap(own->where, other->where);
+    return static_cast<std::size_t>(own - cells.begin());
+}
+
+/// Room that the cell gives: its accelerators, with what no fixed work and no other cell needs of the rest.
+std::vector<room_at> roomOfCell(const scheduler_tables& tables, const planned_cell& cell)
+{
+    std::vector<room_at> rooms;
+    for (const auto& [where, taken] : cell.where.parts) {
+        const auto& worker = tables.workers[where];
+        const amounts whole { taken.accelerators, worker.info.processors, worker.info.memoryGb };
+        const auto others = remaining(tables.plan.planned[where], taken);
+        const auto left = remaining(remaining(whole, worker.fixed), { 0, others.processors, others.memoryGb });
+        rooms.push_back({ where, { taken.accelerators & left.accelerators, left.processors, left.memoryGb } });
+    }
+    return rooms;
+}
+
+std::optional<place> placeInCell(const decision_round& round, const planned_cell& cell, const shape& wanted)
+{
+    const auto rooms = roomOfCell(round.tables, cell);
+    const auto score = [&](const room_at& from, accelerator_set taken) { return evictionCost(round.tables, from.worker, taken, round.now); };
+    return onOneWorker(wanted) ? placeOnOne(rooms, wanted, score) : placeOnGroup(rooms, wanted, score);
+}
+
+void startInGuarantee(decision_round& round, job_row& job, std::size_t guarantee)
+{
+    const auto cell = cellFor(round, job, guarantee);
+    if (!cell)
+        return;
+
+    const bool urgent = job.spec.jobClass == job_class::Urgent && round.tables.organisationFor(job.spec.organisation).policy.mayRunUrgent;
+    const auto planned = placeInCell(round, round.tables.plan.cells[*cell], job.spec.shape);
+    const bool whole = planned && shapeOf(round.tables, round.tables.plan.cells[*cell]).accelerators == job.spec.shape.accelerators;
+    const bool costly = planned && needsEviction(round.tables, *planned);
+    if (!whole || costly) {
+        if (const auto elsewhere = round.findFreeOutsidePlan(job)) {
+            removeCell(round.tables.plan, *cell);
+            round.start(job, *elsewhere, { .guaranteed = true, .urgent = urgent, .rule = "guarantee" });
+            return;
+        }
+    }
+    if (!planned)
+        return;
+    removeCell(round.tables.plan, *cell);
+    round.start(job, *planned, { .guaranteed = true, .urgent = urgent, .evictBorrowed = true, .rule = costly ? "reclaim" : "guarantee" });
+}
+
+std::vector<job_row*> candidates(const decision_round& round, const organisation_row& organisation)
+{
+    auto jobs = waitingByRank(round, organisation, false);
+    const auto before = [](const job_row* left, const job_row* right) {
+        if (left->spec.jobClass != right->spec.jobClass)
+            return left->spec.jobClass == job_class::Urgent;
+        return left->spec.shape.accelerators > right->spec.shape.accelerators;
+    };
+    std::stable_sort(jobs.begin(), jobs.end(), before);
+    return jobs;
+}
+
+} // namespace
+
+void refreshPlan(decision_round& round)
+{
+    auto& tables = round.tables;
+    const bool fresh = tables.plannedVersion == tables.planVersion && round.now - tables.plannedAt < planAge;
+    if (fresh && tables.plan.planned.size() == tables.workers.size())
+        return;
+    tables.plan = planGuarantees(tables, reclaimableRoom(tables), round.now);
+    tables.plannedVersion = tables.planVersion;
+    tables.plannedAt = round.now;
+}
+
+void startGuaranteed(decision_round& round)
+{
+    for (const auto& [name, organisation] : round.tables.organisations) {
+        if (organisation.policy.guarantees.empty() || organisation.waiting.empty())
+            continue;
+        for (auto* job : candidates(round, organisation)) {
+            if (!round.mayStart(*job))
+                continue;
+            if (const auto guarantee = guaranteeFor(organisation, job->spec.shape))
+                startInGuarantee(round, *job, *guarantee);
+        }
+    }
+}
+
+} // namespace oriole
--- a/lib/liboriole/source/core/lifecycle.cpp
+++ b/lib/liboriole/source/core/lifecycle.cpp
@@ -9,6 +9,7 @@
 
 constexpr unsigned failuresOnDifferentWorkers = 3;
 constexpr unsigned failuresAtAll = 8;
+constexpr milliseconds avoidance { 10000 };
 constexpr milliseconds shortestBackOff { 20 };
 constexpr milliseconds longestBackOff { 2000 };
 constexpr unsigned backOffSteps = 7;
@@ -49,6 +50,7 @@
     if (countsAgainstJob(tables, worker))
         job.failedWorkers.insert(worker);
     ++job.failures;
+    job.avoidUntil = now + avoidance;
 
     const bool final = job.failedWorkers.size() >= failuresOnDifferentWorkers || job.failures >= failuresAtAll;
     if (final || (!job.spec.repeatable && what.mayHaveRun)) {
--- /dev/null
+++ b/lib/liboriole/source/core/place.cpp
@@ -0,0 +1,30 @@
+#include <oriole/core/place.hpp>
+
+namespace oriole {
+
+namespace {
+
+unsigned without(unsigned from, unsigned amount)
+{
+    return from > amount ? from - amount : 0;
+}
+
+} // namespace
+
+accelerator_set firstAccelerators(unsigned count)
+{
+    constexpr unsigned bits = 64;
+    return count >= bits ? ~accelerator_set { 0 } : (accelerator_set { 1 } << count) - 1;
+}
+
+amounts remaining(const amounts& from, const amounts& taken)
+{
+    return { from.accelerators & ~taken.accelerators, without(from.processors, taken.processors), without(from.memoryGb, taken.memoryGb) };
+}
+
+bool contains(const amounts& outer, const amounts& inner)
+{
+    return (inner.accelerators & ~outer.accelerators) == 0 && inner.processors <= outer.processors && inner.memoryGb <= outer.memoryGb;
+}
+
+} // namespace oriole
--- a/lib/liboriole/source/core/scheduler.cpp
+++ b/lib/liboriole/source/core/scheduler.cpp
@@ -1,6 +1,9 @@
 #include <oriole/core/scheduler.hpp>
 
 #include <oriole/core/first_fit.hpp>
+#include <oriole/core/fleet_room.hpp>
+#include <oriole/core/guarantee_plan.hpp>
+#include <oriole/core/guarantee_system.hpp>
 #include <oriole/core/intake.hpp>
 #include <oriole/core/shape_limits.hpp>
 #include <oriole/core/tables.hpp>
@@ -18,7 +21,7 @@
     time_point now;
 
     void operator()(const first_fit_policy&) const { startFirstFit(tables, commands, now); }
-    void operator()(const guarantee_policy&) const { startFirstFit(tables, commands, now); }
+    void operator()(const guarantee_policy&) const { runGuaranteePolicy(tables, commands, now); }
 };
 
 } // namespace
@@ -41,6 +44,7 @@
 std::vector<command> scheduler::tick(time_point now)
 {
     std::vector<command> commands;
+    m_tables->rankFleet();
     std::visit(policy_runner { *m_tables, commands, now }, m_policy);
     // Ends go first: what they free may be waited for.
     commands.insert(commands.begin(), m_tables->pending.begin(), m_tables->pending.end());
@@ -65,6 +69,10 @@
     }
     for (const auto& [name, organisation] : m_tables->organisations)
         seen.jobsWaiting += static_cast<unsigned>(organisation.waiting.size());
+    const auto reclaimable = planGuarantees(*m_tables, reclaimableRoom(*m_tables), {});
+    seen.uncovered = reclaimable.uncovered;
+    seen.guaranteedShapesUnused = reclaimable.unused;
+    seen.guaranteedShapesStartable = static_cast<unsigned>(planGuarantees(*m_tables, freeRoom(*m_tables), {}).cells.size());
     seen.attemptsActive = static_cast<unsigned>(m_tables->activeJobs.size());
     return seen;
 }
--- a/lib/liboriole/source/core/tables.cpp
+++ b/lib/liboriole/source/core/tables.cpp
@@ -76,6 +76,7 @@
     worker.domain = domainFor(worker.info.failureDomain);
     addToGroup(racks[worker.rack], index, workers);
     addToGroup(domains[worker.domain], index, workers);
+    ranksStale = true;
 }
 
 group_index scheduler_tables::domainFor(const std::string& name)
@@ -83,6 +84,20 @@
     return groupFor(domains, domainNames, name);
 }
 
+void scheduler_tables::rankFleet()
+{
+    if (!ranksStale)
+        return;
+    ranksStale = false;
+    std::uint32_t rank = 0;
+    for (const auto& [name, index] : std::map<std::string, worker_index>(workerNames.begin(), workerNames.end()))
+        workers[index].rank = rank++;
+    for (const auto& [name, index] : std::map<std::string, group_index>(rackNames.begin(), rackNames.end()))
+        racks[index].rank = rank++;
+    for (const auto& [name, index] : std::map<std::string, group_index>(domainNames.begin(), domainNames.end()))
+        domains[index].rank = rank++;
+}
+
 attempt_row& scheduler_tables::attemptFor(const attempt_id& id)
 {
     auto& slot = attempts[id];
@@ -210,7 +225,7 @@
 
 bool scheduler_tables::eligible(const worker_row& worker) const
 {
-    return worker.present && !worker.leaving && !domains[worker.domain].out;
+    return worker.present && !worker.leaving && !worker.probation && !domains[worker.domain].out;
 }
 
 bool isFixed(const attempt_row& attempt)
@@ -220,17 +235,7 @@
 
 amounts freeOf(const worker_row& worker)
 {
-    return {
-        firstAccelerators(worker.info.accelerators) & ~worker.used.accelerators,
-        without(worker.info.processors, worker.used.processors),
-        without(worker.info.memoryGb, worker.used.memoryGb),
-    };
-}
-
-accelerator_set firstAccelerators(unsigned count)
-{
-    constexpr unsigned bits = 64;
-    return count >= bits ? ~accelerator_set { 0 } : (accelerator_set { 1 } << count) - 1;
+    return remaining({ firstAccelerators(worker.info.accelerators), worker.info.processors, worker.info.memoryGb }, worker.used);
 }
 
 } // namespace oriole
