Guarantee policy: cells of guarantees in use stay whole, probation ends, stateful fuzz

Found by the fuzz, each seen failing first: - a job smaller than its guarantee let fixed work into the rest of its cell, so that the guarantee had no place once the job ended; the rest of the cell stays planned now, and an attempt always uses the smallest guaranteed shape that holds it, so that its match never changes; - the rest of a rack cell broke a whole worker because that was cheaper; holes go before cost there; - a worker on probation that no waiting job could probe stayed out for good: probation ends with time; - a job that avoids workers was not looked at again when the avoidance ended.

--- a/lib/liboriole/include/oriole/core/decision_round.hpp
+++ b/lib/liboriole/include/oriole/core/decision_round.hpp
@@ -35,9 +35,6 @@
     /// @brief Finds a free place that suits the job best and spares the planned cells, collected places and large holes.
     std::optional<place> findFree(const job_row& job);
 
-    /// @brief The same, but only outside the planned cells.
-    std::optional<place> findFreeOutsidePlan(const job_row& job);
-
     /// @brief True once so many searches were made that the rest waits for the next tick.
     [[nodiscard]] bool exhausted() const;
 
--- a/lib/liboriole/include/oriole/core/guarantee_plan.hpp
+++ b/lib/liboriole/include/oriole/core/guarantee_plan.hpp
@@ -21,7 +21,7 @@
 struct guarantee_plan {
     std::vector<planned_cell> cells;
     std::vector<uncovered_guarantee> uncovered;
-    std::vector<amounts> planned; ///< Sum of the cells per worker.
+    std::vector<amounts> planned; ///< Per worker: the cells, and the rests of guarantees in use by smaller attempts.
     unsigned unused = 0; ///< Guarantees planned for, covered or not.
 };
 
@@ -32,7 +32,7 @@
 /// @param first A shape to be placed before any guarantee of its size; its place is returned in @p firstPlace.
 guarantee_plan planGuarantees(const scheduler_tables& tables, fleet_room room, time_point now, const shape* first = nullptr, place* firstPlace = nullptr);
 
-/// @brief Takes the cell of a guarantee out of the plan.
-void removeCell(guarantee_plan& plan, std::size_t cell);
+/// @brief Marks the cell as used by an attempt on @p taken; the rest of it stays planned.
+void useCell(guarantee_plan& plan, std::size_t cell, const place& taken);
 
 } // namespace oriole
--- a/lib/liboriole/include/oriole/core/migration.hpp
+++ b/lib/liboriole/include/oriole/core/migration.hpp
@@ -9,6 +9,9 @@
 /// @brief Evicts own attempts in failure domains that are out, a few at a time, those that fit elsewhere first.
 void leaveDomains(decision_round& round);
 
+/// @brief Evicts every own attempt in a failure domain that is out, all at once; for the baseline.
+void leaveDomainsAtOnce(scheduler_tables& tables);
+
 /// @brief Takes the workers of a domain that has just come back out of the free room, but for a growing part.
 void rampDomains(decision_round& round);
 
--- a/lib/liboriole/include/oriole/core/tables.hpp
+++ b/lib/liboriole/include/oriole/core/tables.hpp
@@ -44,6 +44,7 @@
     bool present = false;
     bool leaving = false;
     bool probation = false; ///< Fails what it starts: gets only small probes.
+    time_point probationUntil {}; ///< When it may get any work again, should no small job have probed it.
     time_point nextProbe {}; ///< When the next small job may try a worker on probation.
     bool refused = false; ///< Refused a reservation since its last report.
     unsigned failuresInRow = 0;
@@ -70,7 +71,8 @@
     bool urgent = false;
     bool repeatable = true;
     bool own = false; ///< Of a job in the table of jobs; held until @c attempt_ended.
-    bool evicting = false; ///< On its way out: evicted by a command or by a reservation of this entry.
+    bool evicting = false; ///< On its way out, as reported or because a reservation of this entry evicts it.
+    bool endAsked = false; ///< Its end was asked for by a command.
     time_point since {}; ///< Start of the tasks, else of the reservation.
     milliseconds declaredRun { 0 };
     unsigned accelerators = 0; ///< Total over its workers.
@@ -100,6 +102,7 @@
     bool cancelled = false;
     bool moving = false; ///< Evicted because its failure domain is out.
     std::uint64_t misfitVersion = 0; ///< State of the fleet at which no place was found; 0 for none.
+    std::uint64_t urgentMisfitVersion = 0; ///< The same for a place as urgent work.
     attempt_row* active = nullptr;
 };
 
--- a/lib/liboriole/source/core/borrowed_starts.cpp
+++ b/lib/liboriole/source/core/borrowed_starts.cpp
@@ -1,8 +1,8 @@
 #include <oriole/core/borrowed_starts.hpp>
 
 #include <oriole/core/job_order.hpp>
-#include <oriole/core/urgent_starts.hpp>
 
+#include <algorithm>
 #include <queue>
 #include <tuple>
 
@@ -43,11 +43,11 @@
 
 void tryStart(decision_round& round, job_row& job)
 {
-    if (isUrgent(round.tables, job) || !round.mayStart(job))
+    if (!round.mayStart(job))
         return;
     if (const auto found = round.findFree(job))
         round.start(job, *found, { .guaranteed = false, .urgent = false, .evictBorrowed = false, .rule = "best-fit" });
-    else
+    else if (job.failedWorkers.empty()) // Else time alone may open a place.
         job.misfitVersion = round.tables.version;
 }
 
--- a/lib/liboriole/source/core/decision_round.cpp
+++ b/lib/liboriole/source/core/decision_round.cpp
@@ -117,27 +117,12 @@
     if (knownMisfit(job.spec.shape, blocked))
         return std::nullopt;
 
-    const auto found = blocked == 0 && plain ? search(free, job.spec.shape) : search(roomFor(job, blocked), job.spec.shape);
+    auto found = blocked == 0 && plain ? search(free, job.spec.shape) : search(roomFor(job, blocked), job.spec.shape);
     if (!found && plain)
         m_misfits.push_back({ job.spec.shape, blocked });
     return found;
 }
 
-std::optional<place> decision_round::findFreeOutsidePlan(const job_row& job)
-{
-    auto room = roomFor(job, collectionsAgainst(job));
-    for (auto& one : room)
-        one.room.accelerators &= ~tables.plan.planned[one.worker].accelerators;
-    // Processors and memory are kept for the cells as well, out of everything that is not fixed.
-    const auto reclaimable = reclaimableRoom(tables);
-    for (auto& one : room) {
-        const auto spare = remaining(reclaimable[one.worker].room, tables.plan.planned[one.worker]);
-        one.room.processors = std::min(one.room.processors, spare.processors);
-        one.room.memoryGb = std::min(one.room.memoryGb, spare.memoryGb);
-    }
-    return search(room, job.spec.shape);
-}
-
 bool decision_round::exhausted() const
 {
     return m_searches >= searchesPerTick;
--- a/lib/liboriole/source/core/eviction_cost.cpp
+++ b/lib/liboriole/source/core/eviction_cost.cpp
@@ -12,7 +12,7 @@
 
 double costOf(const attempt_row& attempt, time_point now)
 {
-    if (attempt.evicting)
+    if (attempt.evicting || attempt.endAsked)
         return 0;
     const auto age = std::chrono::duration<double>(now - attempt.since).count();
     const auto accelerators = std::max(1U, attempt.accelerators);
--- a/lib/liboriole/source/core/first_fit.cpp
+++ b/lib/liboriole/source/core/first_fit.cpp
@@ -2,6 +2,7 @@
 
 #include <oriole/core/fleet_room.hpp>
 #include <oriole/core/lifecycle.hpp>
+#include <oriole/core/migration.hpp>
 
 #include <algorithm>
 
@@ -38,6 +39,7 @@
 
 void startFirstFit(scheduler_tables& tables, std::vector<command>& commands, time_point now)
 {
+    leaveDomainsAtOnce(tables);
     auto room = freeRoom(tables);
     for (auto* job : waitingInOrder(tables)) {
         if (job->notBefore > now || !withinQuota(tables.organisationFor(job->spec.organisation), job->spec.shape))
--- a/lib/liboriole/source/core/gang_collection.cpp
+++ b/lib/liboriole/source/core/gang_collection.cpp
@@ -120,7 +120,8 @@
 void collectForGangs(decision_round& round)
 {
     auto& collections = round.tables.collections;
-    std::erase_if(collections, [&](const collection& one) { return !stillValid(round, one); });
+    if (std::erase_if(collections, [&](const collection& one) { return !stillValid(round, one); }) > 0)
+        ++round.tables.version;
 
     unsigned total = 0;
     for (const auto& worker : round.tables.workers)
--- a/lib/liboriole/source/core/guarantee_plan.cpp
+++ b/lib/liboriole/source/core/guarantee_plan.cpp
@@ -7,6 +7,8 @@
 #include <oriole/core/tables.hpp>
 
 #include <algorithm>
+#include <bit>
+#include <cmath>
 #include <map>
 #include <queue>
 #include <tuple>
@@ -20,6 +22,12 @@
     std::size_t guarantee = 0;
 };
 
+/// A guarantee in use by an attempt that is smaller than the guaranteed shape.
+struct partly_used {
+    shape granted;
+    const attempt_row* attempt = nullptr;
+};
+
 /// Larger shapes first: what is left is then still fit for the smaller ones.
 struct larger_first {
     bool operator()(const shape& left, const shape& right) const
@@ -31,31 +39,52 @@
     }
 };
 
-using shape_classes = std::map<shape, std::vector<guarantee_ref>, larger_first>;
+struct guarantee_demand {
+    std::map<shape, std::vector<guarantee_ref>, larger_first> unused;
+    std::vector<partly_used> partlyUsed;
+};
 
-shape_classes unusedByShape(const scheduler_tables& tables)
+guarantee_demand demandOf(const scheduler_tables& tables)
 {
-    shape_classes classes;
+    guarantee_demand demand;
     for (const auto& [name, organisation] : tables.organisations) {
-        if (organisation.policy.guarantees.empty())
+        const auto& granted = organisation.policy.guarantees;
+        if (granted.empty())
             continue;
-        const auto unused = unusedGuarantees(organisation);
-        for (std::size_t index = 0; index < unused.size(); ++index) {
-            auto& members = classes[organisation.policy.guarantees[index].shape];
-            members.insert(members.end(), unused[index], guarantee_ref { &name, index });
+        const auto usage = usageOf(organisation);
+        for (std::size_t index = 0; index < granted.size(); ++index) {
+            auto& members = demand.unused[granted[index].shape];
+            members.insert(members.end(), usage.unused[index], guarantee_ref { &name, index });
+        }
+        for (const auto& [index, attempt] : usage.used) {
+            if (attempt->accelerators < granted[index].shape.accelerators)
+                demand.partlyUsed.push_back({ granted[index].shape, attempt });
         }
     }
-    return classes;
+    std::stable_sort(demand.partlyUsed.begin(), demand.partlyUsed.end(), [](const partly_used& left, const partly_used& right) { return larger_first()(left.granted, right.granted); });
+    return demand;
+}
+
+constexpr double brokenWeight = 1e9; // Per accelerator of the holes that a gang breaks; outweighs any cost.
+
+/// Scores a part of a gang over several workers: whole workers are spared for shapes that need them.
+part_scorer sparingScore(const scheduler_tables& tables, time_point now)
+{
+    return [&tables, now](const room_at& from, accelerator_set taken) {
+        const auto broken = holeAround(from.room.accelerators, taken) - static_cast<unsigned>(std::popcount(taken));
+        return brokenWeight * broken + evictionCost(tables, from.worker, taken, now);
+    };
 }
 
 /// The best place of one worker, rack or failure domain, cheapest first.
 struct group_offer {
+    double broken = 0;
     unsigned cost = 0;
     std::uint32_t rank = 0;
     group_index group = 0;
     place where;
 
-    bool operator<(const group_offer& other) const { return std::tuple(cost, rank) > std::tuple(other.cost, other.rank); }
+    bool operator<(const group_offer& other) const { return std::tuple(broken, cost, rank) > std::tuple(other.broken, other.cost, other.rank); }
 };
 
 /// Finds places of one shape until none is left.
@@ -65,7 +94,7 @@
         : m_tables(tables)
         , m_room(room)
         , m_wanted(wanted)
-        , m_score([&tables, now](const room_at& from, accelerator_set taken) { return evictionCost(tables, from.worker, taken, now); })
+        , m_score(scoreOf(tables, wanted, now))
     {
         const auto groups = onOneWorker(wanted) ? tables.workers.size() : groupsOf().size();
         for (group_index group = 0; group < groups; ++group)
@@ -86,6 +115,13 @@
     }
 
 private:
+    static part_scorer scoreOf(const scheduler_tables& tables, const shape& wanted, time_point now)
+    {
+        if (!onOneWorker(wanted))
+            return sparingScore(tables, now);
+        return [&tables, now](const room_at& from, accelerator_set taken) { return evictionCost(tables, from.worker, taken, now); };
+    }
+
     [[nodiscard]] const std::vector<group_row>& groupsOf() const
     {
         return m_wanted.adjacency == adjacency::Rack ? m_tables.racks : m_tables.domains;
@@ -108,13 +144,14 @@
         auto found = placeIn(group);
         if (!found)
             return;
-        const auto cost = costStep(found->score);
-        m_offers.push({ cost, rankOf(group), group, std::move(*found) });
+        const auto broken = std::floor(found->score / brokenWeight);
+        const auto cost = costStep(found->score - broken * brokenWeight);
+        m_offers.push({ broken, cost, rankOf(group), group, std::move(*found) });
     }
 
     const scheduler_tables& m_tables;
     fleet_room& m_room;
-    const shape m_wanted;
+    shape m_wanted;
     part_scorer m_score;
     std::priority_queue<group_offer> m_offers;
 };
@@ -140,17 +177,81 @@
     plan.uncovered.push_back({ *which.organisation, wanted, 1 });
 }
 
+unsigned without(unsigned from, unsigned amount)
+{
+    return from > amount ? from - amount : 0;
+}
+
+accelerator_set acceleratorsOf(const scheduler_tables& tables, worker_index where, const attempt_row& attempt)
+{
+    for (const auto& what : tables.workers[where].holdings) {
+        if (what.attempt == &attempt)
+            return what.accelerators;
+    }
+    return 0;
+}
+
+/// The cell of the guaranteed size around what the attempt holds on its worker, without that.
+accelerator_set restOfCell(accelerator_set held, unsigned granted)
+{
+    if (held == 0)
+        return 0;
+    const auto size = std::bit_ceil(granted);
+    const auto offset = static_cast<unsigned>(std::countr_zero(held)) / size * size;
+    const auto exact = firstAccelerators(granted) << offset;
+    const auto cell = (held & ~exact) == 0 ? exact : firstAccelerators(size) << offset;
+    return cell & ~held;
+}
+
+std::optional<place> restOnWorker(const scheduler_tables& tables, const fleet_room& room, const partly_used& which)
+{
+    const auto where = which.attempt->workers.front();
+    const auto& left = room[where].room;
+    const amounts rest {
+        restOfCell(acceleratorsOf(tables, where, *which.attempt), which.granted.accelerators) & left.accelerators,
+        std::min(left.processors, without(which.granted.processors, which.attempt->processors)),
+        std::min(left.memoryGb, without(which.granted.memoryGb, which.attempt->memoryGb)),
+    };
+    return place { { { where, rest } }, 0, 0 };
+}
+
+std::optional<place> restInGroup(const scheduler_tables& tables, const fleet_room& room, const partly_used& which, time_point now)
+{
+    const auto& worker = tables.workers[which.attempt->workers.front()];
+    const auto& group = which.granted.adjacency == adjacency::Rack ? tables.racks[worker.rack] : tables.domains[worker.domain];
+    const shape rest {
+        without(which.granted.accelerators, which.attempt->accelerators),
+        which.granted.adjacency,
+        without(which.granted.processors, which.attempt->processors),
+        without(which.granted.memoryGb, which.attempt->memoryGb),
+    };
+    return placeOnGroup(roomOfGroup(room, group), rest, sparingScore(tables, now));
+}
+
+/// Keeps what the attempt leaves of its guarantee, so that the whole shape is there once it has ended.
+void keepRest(guarantee_plan& plan, const scheduler_tables& tables, fleet_room& room, const partly_used& which, time_point now)
+{
+    const auto rest = onOneWorker(which.granted) ? restOnWorker(tables, room, which) : restInGroup(tables, room, which, now);
+    if (!rest)
+        return;
+    addPlanned(plan, *rest);
+    for (const auto& part : rest->parts)
+        takeFrom(room, part);
+}
+
 } // namespace
 
 guarantee_plan planGuarantees(const scheduler_tables& tables, fleet_room room, time_point now, const shape* first, place* firstPlace)
 {
     guarantee_plan plan;
     plan.planned.resize(tables.workers.size());
-    auto classes = unusedByShape(tables);
+    auto demand = demandOf(tables);
     if (first)
-        classes[*first];
+        demand.unused[*first];
 
-    for (const auto& [wanted, members] : classes) {
+    for (const auto& which : demand.partlyUsed)
+        keepRest(plan, tables, room, which, now);
+    for (const auto& [wanted, members] : demand.unused) {
         shape_planner planner(tables, room, wanted, now);
         if (first && *first == wanted && !planner.next(*firstPlace))
             *firstPlace = {};
@@ -168,10 +269,10 @@
     return plan;
 }
 
-void removeCell(guarantee_plan& plan, std::size_t cell)
+void useCell(guarantee_plan& plan, std::size_t cell, const place& taken)
 {
-    for (const auto& [worker, taken] : plan.cells[cell].where.parts)
-        plan.planned[worker] = remaining(plan.planned[worker], taken);
+    for (const auto& [worker, amount] : taken.parts)
+        plan.planned[worker] = remaining(plan.planned[worker], amount);
     plan.cells.erase(plan.cells.begin() + static_cast<std::ptrdiff_t>(cell));
 }
 
--- a/lib/liboriole/source/core/guarantee_system.cpp
+++ b/lib/liboriole/source/core/guarantee_system.cpp
@@ -11,7 +11,7 @@
 
 void runGuaranteePolicy(scheduler_tables& tables, std::vector<command>& commands, time_point now)
 {
-    updateProbation(tables);
+    updateProbation(tables, now);
     decision_round round(tables, commands, now);
     refreshPlan(round);
     leaveDomains(round);
--- a/lib/liboriole/source/core/guaranteed_starts.cpp
+++ b/lib/liboriole/source/core/guaranteed_starts.cpp
@@ -69,18 +69,11 @@
 
     const bool urgent = job.spec.jobClass == job_class::Urgent && round.tables.organisationFor(job.spec.organisation).policy.mayRunUrgent;
     const auto planned = placeInCell(round, round.tables.plan.cells[*cell], job.spec.shape);
-    const bool whole = planned && shapeOf(round.tables, round.tables.plan.cells[*cell]).accelerators == job.spec.shape.accelerators;
-    const bool costly = planned && needsEviction(round.tables, *planned);
-    if (!whole || costly) {
-        if (const auto elsewhere = round.findFreeOutsidePlan(job)) {
-            removeCell(round.tables.plan, *cell);
-            round.start(job, *elsewhere, { .guaranteed = true, .urgent = urgent, .rule = "guarantee" });
-            return;
-        }
-    }
     if (!planned)
         return;
-    removeCell(round.tables.plan, *cell);
+    const bool costly = needsEviction(round.tables, *planned);
+    round.countSearch();
+    useCell(round.tables.plan, *cell, *planned);
     round.start(job, *planned, { .guaranteed = true, .urgent = urgent, .evictBorrowed = true, .rule = costly ? "reclaim" : "guarantee" });
 }
 
@@ -115,6 +108,8 @@
         if (organisation.policy.guarantees.empty() || organisation.waiting.empty())
             continue;
         for (auto* job : candidates(round, organisation)) {
+            if (round.exhausted())
+                return;
             if (!round.mayStart(*job))
                 continue;
             if (const auto guarantee = guaranteeFor(organisation, job->spec.shape))
--- a/lib/liboriole/source/core/intake.cpp
+++ b/lib/liboriole/source/core/intake.cpp
@@ -1,6 +1,7 @@
 #include <oriole/core/intake.hpp>
 
 #include <oriole/core/lifecycle.hpp>
+#include <oriole/core/probation.hpp>
 
 #include <algorithm>
 #include <bit>
@@ -58,8 +59,7 @@
     if (auto* known = findHolding(tables.workers[where], task.attempt.id)) {
         known->reported = true;
         known->attempt->since = std::min(known->attempt->since, now - task.age);
-        if (!known->attempt->own)
-            known->attempt->evicting = task.phase == task_phase::Evicting;
+        known->attempt->evicting = task.phase == task_phase::Evicting;
         if (known->usedMemoryGb != task.usedMemoryGb) {
             known->usedMemoryGb = task.usedMemoryGb;
             tables.recount(where);
@@ -71,8 +71,7 @@
         takeAttempt(row, task.attempt);
         row.since = now - task.age;
     }
-    if (!row.own)
-        row.evicting = task.phase == task_phase::Evicting;
+    row.evicting = task.phase == task_phase::Evicting;
     tables.addHolding(where, row, { &row, part->accelerators, part->processors, part->memoryGb, task.usedMemoryGb, true });
 }
 
@@ -120,6 +119,13 @@
     setFlag(tables, worker.present, true);
 }
 
+void noteFailures(worker_row& worker, unsigned failuresInRow, time_point now)
+{
+    if (failuresInRow > worker.failuresInRow)
+        worker.probationUntil = now + probationFor(failuresInRow);
+    worker.failuresInRow = failuresInRow;
+}
+
 void apply(scheduler_tables& tables, const worker_reported& what, time_point now)
 {
     const auto found = tables.workerNames.find(what.worker);
@@ -129,7 +135,7 @@
     const auto where = found->second;
     setFlag(tables, tables.workers[where].leaving, what.leaving);
     setFlag(tables, tables.workers[where].refused, false);
-    tables.workers[where].failuresInRow = what.failuresInRow;
+    noteFailures(tables.workers[where], what.failuresInRow, now);
     dropVanished(tables, where, what.tasks);
     for (const auto& task : what.tasks) {
         if (!isEnd(task.phase))
--- a/lib/liboriole/source/core/lifecycle.cpp
+++ b/lib/liboriole/source/core/lifecycle.cpp
@@ -133,7 +133,7 @@
 
     job.state = job_state::Ending;
     job.moving = evict;
-    job.active->evicting = true;
+    job.active->endAsked = true;
     if (evict)
         tables.pending.emplace_back(evict_attempt { job.active->id, reason });
     else
--- a/lib/liboriole/source/core/migration.cpp
+++ b/lib/liboriole/source/core/migration.cpp
@@ -57,6 +57,16 @@
     }
 }
 
+void leaveDomainsAtOnce(scheduler_tables& tables)
+{
+    if (!anyOut(tables))
+        return;
+    for (auto* job : tables.activeJobs) {
+        if (mustLeave(tables, *job))
+            endAttempt(tables, *job, true, "its failure domain is out");
+    }
+}
+
 void rampDomains(decision_round& round)
 {
     for (auto& domain : round.tables.domains) {
--- a/lib/liboriole/source/core/placement.cpp
+++ b/lib/liboriole/source/core/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <tuple>
 
 namespace oriole {
 
@@ -65,7 +66,7 @@
     double score = 0;
 };
 
-std::vector<group_member> membersOf(std::span<const room_at> rooms, const shape& wanted, const part_scorer& score)
+std::vector<group_member> membersOf(std::span<const room_at> rooms, const shape& wanted)
 {
     std::vector<group_member> members;
     unsigned total = 0;
@@ -79,26 +80,25 @@
     if (total < wanted.accelerators)
         return {};
 
-    for (auto& member : members)
-        member.score = score(*member.from, chooseAccelerators(member.from->room.accelerators, member.capacity));
     return members;
 }
 
-/// Moves the member that fits the rest best to the front; the front is the largest one otherwise.
-std::vector<group_member>::iterator bestMember(std::vector<group_member>& members, unsigned rest)
+/// True when @p left is the better one to take next: one that holds the whole rest, else the largest one.
+bool better(const group_member& left, const group_member& right, unsigned rest)
 {
-    const auto better = [rest](const group_member& left, const group_member& right) {
-        const bool leftFits = left.capacity >= rest;
-        const bool rightFits = right.capacity >= rest;
-        if (leftFits != rightFits)
-            return leftFits;
-        if (leftFits && left.score == right.score)
-            return left.capacity < right.capacity;
-        if (!leftFits && left.capacity != right.capacity)
-            return left.capacity > right.capacity;
-        return left.score < right.score;
-    };
-    return std::min_element(members.begin(), members.end(), better);
+    const bool leftFits = left.capacity >= rest;
+    if (leftFits != (right.capacity >= rest))
+        return leftFits;
+    if (leftFits)
+        return std::tie(left.score, left.capacity) < std::tie(right.score, right.capacity);
+    return std::tuple(-static_cast<int>(left.capacity), left.score) < std::tuple(-static_cast<int>(right.capacity), right.score);
+}
+
+/// Scores the members by what would be taken of each for the rest.
+void scoreMembers(std::vector<group_member>& members, unsigned rest, const part_scorer& score)
+{
+    for (auto& member : members)
+        member.score = score(*member.from, chooseAccelerators(member.from->room.accelerators, std::min(member.capacity, rest)));
 }
 
 } // namespace
@@ -184,13 +184,15 @@
 
 std::optional<place> placeOnGroup(std::span<const room_at> rooms, const shape& wanted, const part_scorer& score)
 {
-    auto members = membersOf(rooms, wanted, score);
+    auto members = membersOf(rooms, wanted);
     place found;
     found.candidates = static_cast<unsigned>(members.size());
     unsigned placed = 0;
     while (placed < wanted.accelerators && !members.empty()) {
-        const auto next = bestMember(members, wanted.accelerators - placed);
-        const auto taken = std::min(next->capacity, wanted.accelerators - placed);
+        const auto rest = wanted.accelerators - placed;
+        scoreMembers(members, rest, score);
+        const auto next = std::min_element(members.begin(), members.end(), [rest](const group_member& left, const group_member& right) { return better(left, right, rest); });
+        const auto taken = std::min(next->capacity, rest);
         const auto set = chooseAccelerators(next->from->room.accelerators, taken);
         const auto after = placed + taken;
         const auto processors = share(wanted.processors, after, wanted.accelerators) - share(wanted.processors, placed, wanted.accelerators);
--- a/lib/liboriole/source/core/probation.cpp
+++ b/lib/liboriole/source/core/probation.cpp
@@ -11,15 +11,17 @@
 
 constexpr unsigned failuresForProbation = 3;
 constexpr unsigned largestShare = 5; // One worker in so many.
+constexpr milliseconds shortestProbation { 10000 };
+constexpr unsigned longestDoubling = 6;
 constexpr milliseconds probeInterval { 2000 };
 
-std::vector<worker_index> suspects(const scheduler_tables& tables, unsigned& present)
+std::vector<worker_index> suspects(const scheduler_tables& tables, unsigned& present, time_point now)
 {
     std::vector<worker_index> found;
     for (worker_index index = 0; index < tables.workers.size(); ++index) {
         const auto& worker = tables.workers[index];
         present += worker.present ? 1 : 0;
-        if (worker.present && worker.failuresInRow >= failuresForProbation)
+        if (worker.present && worker.failuresInRow >= failuresForProbation && now < worker.probationUntil)
             found.push_back(index);
     }
     const auto order = [&](worker_index index) { return std::tuple(-static_cast<int>(tables.workers[index].failuresInRow), tables.workers[index].rank); };
@@ -64,10 +66,18 @@
 
 } // namespace
 
-void updateProbation(scheduler_tables& tables)
+milliseconds probationFor(unsigned failuresInRow)
+{
+    if (failuresInRow < failuresForProbation)
+        return milliseconds(0);
+    const auto doublings = std::min(failuresInRow - failuresForProbation, longestDoubling);
+    return shortestProbation * (1U << doublings);
+}
+
+void updateProbation(scheduler_tables& tables, time_point now)
 {
     unsigned present = 0;
-    const auto found = suspects(tables, present);
+    const auto found = suspects(tables, present, now);
     const auto most = std::max(1U, present / largestShare);
     std::vector<bool> marked(tables.workers.size());
     for (std::size_t index = 0; index < std::min<std::size_t>(most, found.size()); ++index)
--- a/lib/liboriole/source/core/urgent_starts.cpp
+++ b/lib/liboriole/source/core/urgent_starts.cpp
@@ -74,14 +74,14 @@
         if (!round.mayStart(*job))
             continue;
         auto found = findOutsidePlan(round, *job);
-        if (!found && plans < plansPerTick && job->misfitVersion != round.tables.version) {
+        if (!found && plans < plansPerTick && job->urgentMisfitVersion != round.tables.version) {
             ++plans;
             found = findByNewPlan(round, *job);
         }
         if (found)
             round.start(*job, *found, { .guaranteed = false, .urgent = true, .evictBorrowed = true, .rule = "urgent" });
-        else
-            job->misfitVersion = round.tables.version;
+        else if (job->failedWorkers.empty())
+            job->urgentMisfitVersion = round.tables.version;
     }
 }
 
--- /dev/null
+++ b/tests/unit/core/core_fuzz_test.cpp
@@ -0,0 +1,71 @@
+#include "fuzz_world.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace oriole;
+using namespace oriole::test;
+
+namespace {
+
+std::vector<fuzz_step> history()
+{
+    const auto number = rc::gen::inRange(0U, 10000U);
+    const auto one = rc::gen::apply([](unsigned kind, unsigned first, unsigned second, unsigned third) { return fuzz_step { kind, first, second, third }; }, number, number, number, number);
+    return *rc::gen::scale(3.0, rc::gen::container<std::vector<fuzz_step>>(one));
+}
+
+} // namespace
+
+namespace rc {
+
+template <>
+struct Arbitrary<fuzz_step> {
+    static Gen<fuzz_step> arbitrary() { return gen::just(fuzz_step {}); }
+};
+
+} // namespace rc
+
+namespace oriole::test {
+
+std::ostream& operator<<(std::ostream& out, const fuzz_step& step)
+{
+    return out << "{" << step.kind << "," << step.first << "," << step.second << "," << step.third << "}";
+}
+
+} // namespace oriole::test
+
+TEST_CASE("no history makes a core give an accelerator twice, split a gang or starve a job")
+{
+    for (const policy chosen : { policy(guarantee_policy {}), policy(first_fit_policy {}) }) {
+        REQUIRE(rc::check([chosen] {
+            const auto entries = *rc::gen::inRange(1U, 4U);
+            const auto workers = *rc::gen::inRange(2U, 9U);
+            fuzz_world world({ .entries = entries, .workers = workers, .disturbances = true, .chosen = chosen });
+            for (const auto& step : history())
+                world.step(step);
+            world.settle();
+        }));
+    }
+}
+
+TEST_CASE("each unused guarantee can be placed by evicting borrowed work only, after any history of a healthy fleet")
+{
+    REQUIRE(rc::check([] {
+        const auto workers = *rc::gen::inRange(6U, 10U);
+        fuzz_world world({ .entries = 1, .workers = workers, .disturbances = false });
+        for (const auto& step : history()) {
+            world.step(step);
+            RC_ASSERT(world.guaranteesPlaceable());
+        }
+        world.settle();
+    }));
+}
+
+TEST_CASE("a job that failed on the only workers that could hold it is tried there again later")
+{
+    fuzz_world world({ .entries = 1, .workers = 4, .disturbances = true });
+    for (const auto& step : std::vector<fuzz_step> { { 0, 0, 420, 0 }, { 0, 0, 780, 0 }, { 3496, 0, 5886, 0 }, { 0, 0, 6550, 1 }, { 418, 0, 0, 0 } })
+        world.step(step);
+    world.settle();
+}
