Agent: fuzz of gangs under cuts, restarts and a runtime that is down; three faults mended

The fuzz drives three task managers over mocks; its oracle sees only the runtimes and what was answered. Reading the histories showed a third: a lead that restarted after all members had finished and fallen silent called the gang lost; members now go on telling until their end is acknowledged.

--- a/lib/liboriole/include/oriole/agent/ledger.hpp
+++ b/lib/liboriole/include/oriole/agent/ledger.hpp
@@ -73,8 +73,9 @@
     std::uint64_t fence(const std::string& organisation, std::uint64_t epoch);
 
     /// @brief Takes over a task found running or ended at the runtime.
+    /// @param holds False when it holds no accelerators any more: its own part is over, its gang not yet.
     /// @return False when its accelerators are held or it has ended here.
-    bool adopt(const attempt& found, task_phase phase, const std::string& reason, time_point now);
+    bool adopt(const attempt& found, task_phase phase, bool holds, const std::string& reason, time_point now);
 
     /// @brief Records that a task may start from now on; to be called before anybody is told to start it.
     /// @return False when the attempt is not committed, or the failure domain is out.
--- a/lib/liboriole/include/oriole/agent/task_manager.hpp
+++ b/lib/liboriole/include/oriole/agent/task_manager.hpp
@@ -114,6 +114,7 @@
     void heartbeatAnswered(const run_ref& task, time_point sentAt, task_phase told, const result<gang_answer>& answer);
     void followLead(const run_ref& task, time_point sentAt, const gang_answer& answer);
 
+    void startOrGiveUp(const run_ref& task);
     void startTask(const run_ref& task);
     void startAnswered(const run_ref& task, const result<runtime_task>& answer);
     void stopRun(const run_ref& task, task_phase phase, const std::string& reason, bool checkpoint);
--- a/lib/liboriole/source/agent/ledger.cpp
+++ b/lib/liboriole/source/agent/ledger.cpp
@@ -136,7 +136,8 @@
     return highest;
 }
 
-bool ledger::adopt(const attempt& found, task_phase phase, const std::string& reason, time_point now)
+bool ledger::adopt(
+    const attempt& found, task_phase phase, bool holds, const std::string& reason, time_point now)
 {
     const auto* share = shareOf(found, m_worker);
     if (share == nullptr || m_entries.contains(found.id) || rememberedEnd(found.id) != nullptr)
@@ -151,6 +152,8 @@
     entry.mayHaveRun = true;
     entry.leads = found.allocations.front().worker == m_worker;
     entry.reason = reason;
+    if (!holds)
+        entry.share.accelerators = 0;
     if (!isEnd(phase) && !conflicts(entry).empty())
         return false;
 
--- a/lib/liboriole/source/agent/task_manager.cpp
+++ b/lib/liboriole/source/agent/task_manager.cpp
@@ -409,7 +409,7 @@
     if (task->callInFlight || task->nextCall > now())
         return;
     if (task->state == task_state::Starting)
-        startTask(task);
+        startOrGiveUp(task);
     else if (task->state == task_state::Stopping)
         stopTask(task);
 }
@@ -483,7 +483,9 @@
 {
     const auto* entry = m_ledger.find(task->attempt.id);
     const auto phase = entry == nullptr ? task->endPhase : entry->phase;
-    if (task->told == phase && isEnd(phase))
+    // A finished member goes on telling while its end is not acknowledged, for a lead that restarts.
+    const bool goesOn = phase == task_phase::Finished && entry != nullptr;
+    if (task->told == phase && isEnd(phase) && !goesOn)
         return;
 
     task->heartbeatInFlight = true;
@@ -510,7 +512,7 @@
 
     const auto* entry = m_ledger.find(task->attempt.id);
     const bool newPhase = entry != nullptr && entry->phase != told;
-    const auto period = told == task_phase::Running ? holdWhileRunning : holdBeforeStart;
+    const auto period = told >= task_phase::Running ? holdWhileRunning : holdBeforeStart;
     task->nextHeartbeat = newPhase ? now() : sentAt + period;
     advance(task);
     publish();
@@ -545,6 +547,20 @@
     task->startDeadline = now() + startPatience;
 }
 
+// The permission to start may be some time old when a start is tried again.
+void task_manager::startOrGiveUp(const run_ref& task)
+{
+    const auto closed = m_view.refusal(now());
+    if (!closed) {
+        startTask(task);
+        return;
+    }
+
+    if (!task->startUncertain && task->attempt.allocations.size() == 1)
+        m_ledger.retractStart(task->attempt.id);
+    evictRun(task, *closed);
+}
+
 void task_manager::startTask(const run_ref& task)
 {
     ++m_counters.starts;
@@ -786,7 +802,7 @@
         adoptEnded(found);
         return;
     }
-    if (!m_ledger.adopt(found.attempt, task_phase::Running, "", now())) {
+    if (!m_ledger.adopt(found.attempt, task_phase::Running, true, "", now())) {
         m_runtime.stop(found.task.id, [](const result<runtime_task>&) {});
         return;
     }
@@ -807,12 +823,12 @@
     const auto& shares = found.attempt.allocations;
     const bool leadsOthers = shares.size() > 1 && shares.front().worker == m_worker;
     if (!leadsOthers || phase != task_phase::Finished) {
-        m_ledger.adopt(found.attempt, phase, found.task.reason, now());
+        m_ledger.adopt(found.attempt, phase, false, found.task.reason, now());
         return;
     }
 
     // The lead's own task has finished, but the gang has only when every member's has.
-    if (!m_ledger.adopt(found.attempt, task_phase::Running, "", now()))
+    if (!m_ledger.adopt(found.attempt, task_phase::Running, false, "", now()))
         return;
     const auto task = addRun(found.attempt, m_ledger.find(found.attempt.id)->share);
     task->state = task_state::Ended;
@@ -896,6 +912,8 @@
             return false;
         if (!task->held.empty() || task->callInFlight)
             return false;
+        if (entry != nullptr && entry->phase == task_phase::Finished && !task->gang.has_value())
+            return false;
         // Kept for a while, so that the other members hear how it ended.
         return now() - task->endedAt > 2 * lease();
     });
--- a/tests/unit/agent/mocks.hpp
+++ b/tests/unit/agent/mocks.hpp
@@ -34,12 +34,14 @@
 /// @brief A runtime whose tasks end when the test says so.
 class runtime final : public runtime_client {
 public:
-    explicit runtime(mailbox& answers)
+    runtime(mailbox& answers, const timer_service& timers)
         : m_answers(answers)
+        , m_timers(timers)
     {
     }
 
-    void start(const attempt& attempt, const allocation&, std::chrono::milliseconds, handler<runtime_task> done) override
+    void start(const attempt& attempt, const allocation& share, std::chrono::milliseconds lease,
+        handler<runtime_task> done) override
     {
         const auto id = toString(attempt.id);
         if (down) {
@@ -47,18 +49,29 @@
             return;
         }
         ++starts[id];
-        if (!tasks.contains(id))
+        if (!tasks.contains(id)) {
+            for (const auto& [other, accelerators] : m_held) {
+                if ((accelerators & share.accelerators) != 0 && tasks.at(other).task.state == runtime_state::Running)
+                    ++overlaps;
+            }
+            m_held[id] = share.accelerators;
+            m_leases[id] = m_timers.now() + lease;
             tasks[id] = { { id, runtime_state::Running, "", 0 }, attempt };
+        }
         const bool lose = loseStartReplies;
         m_answers.post([this, id, done, lose] {
             lose ? done(mayHaveRun(failure_kind::Broken, "reply lost")) : done(tasks.at(id).task);
         });
     }
 
-    void renew(const std::vector<std::string>& ids, std::chrono::milliseconds,
+    void renew(const std::vector<std::string>& ids, std::chrono::milliseconds lease,
         handler<std::vector<runtime_task>> done) override
     {
         ++renewals;
+        for (const auto& id : ids) {
+            if (!down)
+                m_leases[id] = m_timers.now() + lease;
+        }
         std::vector<runtime_task> states;
         states.reserve(ids.size());
         for (const auto& id : ids)
@@ -103,6 +116,15 @@
         m_answers.post([all, done] { done(all); });
     }
 
+    /// @brief Stops the tasks whose lease has lapsed.
+    void expire()
+    {
+        for (auto& [id, record] : tasks) {
+            if (record.task.state == runtime_state::Running && m_leases[id] <= m_timers.now())
+                record.task.state = runtime_state::Expired;
+        }
+    }
+
     void endTask(const attempt_id& id, runtime_state state) { tasks.at(toString(id)).task.state = state; }
     [[nodiscard]] bool runs(const attempt_id& id) const
     {
@@ -118,6 +140,7 @@
     std::set<std::string> throttled;
     std::set<std::string> forgotten;
     unsigned renewals = 0;
+    unsigned overlaps = 0; ///< Starts on accelerators that another task was running on.
 
 private:
     void answerTask(const std::string& id, const handler<runtime_task>& done)
@@ -128,6 +151,9 @@
     }
 
     mailbox& m_answers;
+    const timer_service& m_timers;
+    std::map<std::string, time_point> m_leases;
+    std::map<std::string, accelerator_set> m_held;
 };
 
 /// @brief Carries gang heartbeats between the agents of a test, by their RPC address.
