--- a/lib/liboriole/source/entry/entry_node.cpp
+++ b/lib/liboriole/source/entry/entry_node.cpp
@@ -46,7 +46,7 @@
     , loop(eventLoop)
     , store(storeClient)
     , metrics(registry)
-    , controlStore(store, settings.environment)
+    , controlStore(store, settings.environment, &loop.timers())
     , control(store, controlStore, loop.timers(), addressOf(settings))
     , workers(loop.timers())
     , peers(loop, settings.name, [this](auto target, auto revision) { writePeerState(target, revision); })
