--- a/lib/liboriole/include/oriole/agent/task_manager.hpp
+++ b/lib/liboriole/include/oriole/agent/task_manager.hpp
@@ -77,6 +77,9 @@
     /// @brief Called soon after each change of what @c reports says.
     void onChange(std::function<void()> handler) { m_changed = std::move(handler); }
 
+    /// @brief Called once the tasks of an earlier process are known.
+    void onRecovered(std::function<void()> handler) { m_onRecovered = std::move(handler); }
+
     [[nodiscard]] std::vector<task_report> reports() const;
     [[nodiscard]] std::uint64_t version() const { return m_ledger.version(); }
     [[nodiscard]] bool recovered() const { return m_recovered; }
@@ -111,6 +114,7 @@
     void heartbeatAnswered(const run_ref& task, time_point sentAt, task_phase told, const result<gang_answer>& answer);
     void followLead(const run_ref& task, time_point sentAt, const gang_answer& answer);
 
+    void startOrGiveUp(const run_ref& task);
     void startTask(const run_ref& task);
     void startAnswered(const run_ref& task, const result<runtime_task>& answer);
     void stopRun(const run_ref& task, task_phase phase, const std::string& reason, bool checkpoint);
@@ -152,6 +156,7 @@
     std::uint64_t m_published = 0;
     task_counters m_counters;
     std::function<void()> m_changed;
+    std::function<void()> m_onRecovered;
 };
 
 } // namespace oriole
--- a/lib/liboriole/source/agent/task_manager.cpp
+++ b/lib/liboriole/source/agent/task_manager.cpp
@@ -18,6 +18,8 @@
 // The lead holds an answer back that long when it has nothing new to tell. Both are well below the task lease.
 constexpr milliseconds holdBeforeStart { 200 };
 constexpr milliseconds holdWhileRunning { 1000 };
+// A member that has been silent for longer may be cut off, and would miss the start of its gang.
+constexpr milliseconds startRecency { 500 };
 
 // A task above this part of its declared memory is throttled, and above the second one evicted.
 constexpr unsigned throttleAtPercent = 150;
@@ -94,6 +96,7 @@
     std::string endReason;
     time_point endedAt;
     bool throttled = false;
+    bool startUncertain = false; ///< A start call may have taken effect.
 };
 
 struct task_manager::pending_reserve {
@@ -144,6 +147,8 @@
             adopt(task);
         m_recovered = true;
         logEvent(log_level::Info, "recovered", { { "tasks", found.value().size() } });
+        if (m_onRecovered)
+            m_onRecovered();
         publish();
     });
 }
@@ -156,7 +161,7 @@
     if (closed.has_value()) {
         answer.reason = *closed;
         answer.epoch = m_ledger.fence(wanted.id.organisation, 0);
-        answer.mayHaveRun = !m_recovered || m_ledger.mayHaveRun(wanted.id);
+        answer.mayHaveRun = m_ledger.mayHaveRun(wanted.id);
     } else {
         answer = m_ledger.reserve(wanted, ttl, evictBorrowed, now());
     }
@@ -404,7 +409,7 @@
     if (task->callInFlight || task->nextCall > now())
         return;
     if (task->state == task_state::Starting)
-        startTask(task);
+        startOrGiveUp(task);
     else if (task->state == task_state::Stopping)
         stopTask(task);
 }
@@ -429,7 +434,7 @@
         gang.end(entry->phase, entry->reason);
 
     gang.checkSilence(now(), lease());
-    if (gang.readyToStart()) {
+    if (gang.readyToStart(now(), startRecency)) {
         if (const auto closed = m_view.refusal(now())) {
             gang.end(task_phase::Released, *closed);
         } else if (!m_ledger.allowStart(task->attempt.id)) {
@@ -478,7 +483,9 @@
 {
     const auto* entry = m_ledger.find(task->attempt.id);
     const auto phase = entry == nullptr ? task->endPhase : entry->phase;
-    if (task->told == phase && isEnd(phase))
+    // A finished member goes on telling while its end is not acknowledged, for a lead that restarts.
+    const bool goesOn = phase == task_phase::Finished && entry != nullptr;
+    if (task->told == phase && isEnd(phase) && !goesOn)
         return;
 
     task->heartbeatInFlight = true;
@@ -505,7 +512,7 @@
 
     const auto* entry = m_ledger.find(task->attempt.id);
     const bool newPhase = entry != nullptr && entry->phase != told;
-    const auto period = told == task_phase::Running ? holdWhileRunning : holdBeforeStart;
+    const auto period = told >= task_phase::Running ? holdWhileRunning : holdBeforeStart;
     task->nextHeartbeat = newPhase ? now() : sentAt + period;
     advance(task);
     publish();
@@ -540,6 +547,20 @@
     task->startDeadline = now() + startPatience;
 }
 
+// The permission to start may be some time old when a start is tried again.
+void task_manager::startOrGiveUp(const run_ref& task)
+{
+    const auto closed = m_view.refusal(now());
+    if (!closed) {
+        startTask(task);
+        return;
+    }
+
+    if (!task->startUncertain && task->attempt.allocations.size() == 1)
+        m_ledger.retractStart(task->attempt.id);
+    evictRun(task, *closed);
+}
+
 void task_manager::startTask(const run_ref& task)
 {
     ++m_counters.starts;
@@ -561,6 +582,7 @@
         return;
     }
 
+    task->startUncertain |= !answer && answer.error().ran != verdict::NotRun;
     if (answer && answer.value().state == runtime_state::Running) {
         task->state = task_state::Running;
         task->lastRenewed = now();
@@ -574,7 +596,10 @@
         taskEnded(task, answer.value());
     } else if (now() >= task->startDeadline) {
         runtime_task refused { task->taskId, runtime_state::Failed, "start failed: " + answer.error().reason, 0 };
-        if (answer.error().ran == verdict::NotRun)
+        const bool certain = answer.error().ran == verdict::NotRun && !task->startUncertain;
+        if (certain && task->attempt.allocations.size() == 1)
+            m_ledger.retractStart(task->attempt.id);
+        if (certain)
             taskEnded(task, refused);
         else
             stopRun(task, task_phase::Lost, refused.reason, false);
@@ -777,7 +802,7 @@
         adoptEnded(found);
         return;
     }
-    if (!m_ledger.adopt(found.attempt, task_phase::Running, "", now())) {
+    if (!m_ledger.adopt(found.attempt, task_phase::Running, true, "", now())) {
         m_runtime.stop(found.task.id, [](const result<runtime_task>&) {});
         return;
     }
@@ -798,12 +823,12 @@
     const auto& shares = found.attempt.allocations;
     const bool leadsOthers = shares.size() > 1 && shares.front().worker == m_worker;
     if (!leadsOthers || phase != task_phase::Finished) {
-        m_ledger.adopt(found.attempt, phase, found.task.reason, now());
+        m_ledger.adopt(found.attempt, phase, false, found.task.reason, now());
         return;
     }
 
     // The lead's own task has finished, but the gang has only when every member's has.
-    if (!m_ledger.adopt(found.attempt, task_phase::Running, "", now()))
+    if (!m_ledger.adopt(found.attempt, task_phase::Running, false, "", now()))
         return;
     const auto task = addRun(found.attempt, m_ledger.find(found.attempt.id)->share);
     task->state = task_state::Ended;
@@ -887,6 +912,8 @@
             return false;
         if (!task->held.empty() || task->callInFlight)
             return false;
+        if (entry != nullptr && entry->phase == task_phase::Finished && !task->gang.has_value())
+            return false;
         // Kept for a while, so that the other members hear how it ended.
         return now() - task->endedAt > 2 * lease();
     });
