--- a/main/oriolewayctl/source/main.cpp
+++ b/main/oriolewayctl/source/main.cpp
@@ -1,4 +1,6 @@
-int main()
+#include "command_line.hpp"
+
+int main(int argc, char** argv)
 {
-    return 0;
+    return oriole::ctl::runCommandLine(argc, argv);
 }
