--- a/main/oriolewayctl/source/command_line.cpp
+++ b/main/oriolewayctl/source/command_line.cpp
@@ -3,6 +3,7 @@
 #include <oriole/ctl/operations.hpp>
 
 #include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
 
 #include <fstream>
 #include <iostream>
@@ -251,6 +252,9 @@
         return static_cast<int>(m_action({ std::cout, std::cerr, format, author, sleep }));
     } catch (const CLI::ParseError& error) {
         return m_app.exit(error) == 0 ? 0 : static_cast<int>(exit_code::BadUsage);
+    } catch (const nlohmann::json::exception& error) {
+        std::cerr << "the entry's answer is not of the expected form: " << error.what() << "\n";
+        return static_cast<int>(exit_code::Unreachable);
     } catch (const usage_error& error) {
         std::cerr << error.what() << "\n";
         return static_cast<int>(exit_code::BadUsage);
