--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,18 @@
 
 schema:
 	@cd lib/liboriole/schema && capnp compile -oc++ oriole.capnp
+
+demo: build
+	@build/bin/demo
+
+up: build
+	@build/bin/demo --stay
+
+bench: build
+	@build/bin/bench
+
+measure: build
+	@build/bin/policy_measure
+
+soak: build
+	@build/bin/soak
