--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 measure: build
 	@build/bin/policy_measure
+	@build/bin/outage
 
 soak: build
 	@build/bin/soak
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -254,9 +254,8 @@
 {
     std::vector<json> found;
     for (const auto& event : runtimeEvents()) {
-        const auto attempt = event["labels"].value("attempt", json::object());
-        const auto id = attempt.value("id", json::object());
-        if (event["event"] == kind && id.value("job", "") == job)
+        const std::string task = event["task"];
+        if (event["event"] == kind && task.find("/" + job + "/") != std::string::npos)
             found.push_back(event);
     }
     return found;
--- a/tests/harness/load.cpp
+++ b/tests/harness/load.cpp
@@ -21,6 +21,7 @@
         const auto entry = m_settings.entries[(caller + number) % m_settings.entries.size()];
         auto reply = m_system.request(entry, number % 2 == 0 ? "alpha" : "beta", body, m_settings.headers);
         ++m_answered;
+        m_completed += reply.status == 200 ? 1 : 0;
         {
             const std::lock_guard lock(m_mutex);
             m_told.push_back({ key, std::move(reply) });
--- a/tests/harness/load.hpp
+++ b/tests/harness/load.hpp
@@ -38,6 +38,7 @@
     std::vector<told_request> stop();
 
     [[nodiscard]] std::size_t answered() const { return m_answered; }
+    [[nodiscard]] std::size_t completed() const { return m_completed; }
 
 private:
     void run(unsigned caller);
@@ -46,6 +47,7 @@
     load_settings m_settings;
     std::atomic<bool> m_stopping { false };
     std::atomic<std::size_t> m_answered { 0 };
+    std::atomic<std::size_t> m_completed { 0 };
     std::mutex m_mutex;
     std::vector<told_request> m_told;
     std::vector<std::thread> m_threads;
--- a/tests/harness/oracle.cpp
+++ b/tests/harness/oracle.cpp
@@ -9,6 +9,12 @@
 
 using std::chrono::milliseconds;
 
+std::string jobOf(const std::string& task)
+{
+    const auto begin = task.find('/') + 1;
+    return task.substr(begin, task.rfind('/') - begin);
+}
+
 bool runsAt(const task_run& task, milliseconds time)
 {
     return task.started <= time && (!task.ended || time < *task.ended);
@@ -51,12 +57,9 @@
 {
     std::map<std::string, attempt_run> attempts;
     for (const auto& event : events) {
-        const auto label = event["labels"].value("attempt", nlohmann::json::object());
-        const auto id = label.value("id", nlohmann::json::object());
-        const auto job = id.value("job", "");
-        const auto name = id.value("organisation", "") + "/" + job + "/" + std::to_string(id.value("number", 0U));
+        const auto name = event.value("task", "");
         auto& attempt = attempts[name];
-        attempt.job = job;
+        attempt.job = jobOf(name);
         attempt.gangSize = event.value("gang_size", std::size_t { 1 });
         const milliseconds time(event.value("monotonic_ms", std::int64_t { 0 }));
         const auto kind = event.value("event", "");
