--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -140,6 +140,18 @@
         throw std::runtime_error("stand-ins do not answer");
 }
 
+std::vector<std::string> cluster::seedFlags(const std::string& except) const
+{
+    std::vector<std::string> flags;
+    for (const auto& entry : entries) {
+        if (entry.name == except)
+            continue;
+        flags.emplace_back("--seed");
+        flags.push_back(toString(entry.rpcLink->address()));
+    }
+    return flags;
+}
+
 void cluster::startEntry(std::size_t index)
 {
     auto& node = entries.at(index);
@@ -148,13 +160,15 @@
         "http://" + toString(node.storeLink->address()), "--environment", "test", "--failure-domain",
         node.failureDomain, "--region", node.failureDomain };
     arguments.insert(arguments.end(), m_settings.entryFlags.begin(), m_settings.entryFlags.end());
+    const auto seeds = seedFlags(node.name);
+    arguments.insert(arguments.end(), seeds.begin(), seeds.end());
     node.process = std::make_unique<process>("oriolewayd", arguments, m_logs.file(node.name + ".log"));
 }
 
 void cluster::startAgent(std::size_t index)
 {
     auto& node = agents.at(index);
-    const std::vector<std::string> arguments { "agent", "--worker", node.worker, "--rpc", toString(node.rpc),
+    std::vector<std::string> arguments { "agent", "--worker", node.worker, "--rpc", toString(node.rpc),
         "--advertise-rpc", toString(node.rpcLink->address()), "--store",
         "http://" + toString(node.storeLink->address()), "--environment", "test", "--failure-domain",
         node.failureDomain, "--region", node.failureDomain, "--rack", node.rack, "--service", "column", "--backend",
@@ -162,6 +176,8 @@
         "http://" + toString(node.runtimeLink->address()) + "/workers/" + node.worker, "--accelerators",
         std::to_string(acceleratorsPerWorker), "--processors", std::to_string(processorsPerWorker), "--memory-gb",
         std::to_string(memoryGbPerWorker) };
+    const auto seeds = seedFlags("");
+    arguments.insert(arguments.end(), seeds.begin(), seeds.end());
     node.process = std::make_unique<process>("oriolewayd", arguments, m_logs.file(node.worker + ".log"));
 }
 
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -119,6 +119,7 @@
     void startStandIns();
     [[nodiscard]] json backendCounts(std::size_t agent) const;
     void describeNodes();
+    [[nodiscard]] std::vector<std::string> seedFlags(const std::string& except) const;
 
     cluster_settings m_settings;
     test_directory m_logs;
