Agent: finds entries in the store while it is connected to none

It now reads the entries' records at its start and after it has lost all of them, with a jittered back-off.

--- a/lib/liboriole/include/oriole/agent/entry_links.hpp
+++ b/lib/liboriole/include/oriole/agent/entry_links.hpp
@@ -44,8 +44,8 @@
     /// @brief Sends a heartbeat to every entry now.
     void wake();
 
-    /// @brief Adds entries found elsewhere, e.g. in the store.
-    void addKnown(const std::vector<entry_address>& entries);
+    /// @brief Takes the list of live entries, from a view or from the store; an empty one changes nothing.
+    void setListed(const std::vector<entry_address>& entries);
 
     /// @brief Number of entries with a session.
     [[nodiscard]] unsigned connected() const;
--- a/lib/liboriole/source/agent/agent_process.cpp
+++ b/lib/liboriole/source/agent/agent_process.cpp
@@ -1,9 +1,11 @@
 #include <oriole/agent/agent_process.hpp>
 #include <oriole/agent/agent_server.hpp>
+#include <oriole/agent/entry_finder.hpp>
 #include <oriole/agent/entry_links.hpp>
 #include <oriole/agent/rpc_peer_gateway.hpp>
 #include <oriole/helpers/log.hpp>
 #include <oriole/runtime/http_runtime_client.hpp>
+#include <oriole/store/etcd_store_client.hpp>
 
 #include <random>
 #include <utility>
@@ -20,6 +22,19 @@
 // Tasks of an earlier process have lost their leases by then, so that nothing is missing from a report.
 constexpr milliseconds recoverPatience { 4000 };
 
+// Time that the seeds have before the store is asked.
+constexpr milliseconds seedPatience { 1500 };
+
+etcd_store_options storeOptions()
+{
+    etcd_store_options options;
+    options.callsPerSecond = 2;
+    options.burst = 4;
+    options.threads = 1;
+    options.queueLimit = 4;
+    return options;
+}
+
 std::uint64_t randomIncarnation()
 {
     std::random_device device;
@@ -48,6 +63,8 @@
     forwarder m_requests;
     rpc::Agent::Client m_agent;
     entry_links m_links;
+    etcd_store_client m_store;
+    entry_finder m_finder;
     time_point m_stopBegan;
     std::optional<time_point> m_quietSince;
 };
@@ -64,6 +81,11 @@
     , m_links(
           m_loop, workerInfo(settings, randomIncarnation()), settings.seeds, m_view, m_agent,
           [this] { return report(); }, [this](const auto& ids) { m_tasks.acknowledge(ids); })
+    , m_store(m_loop, settings.store, storeOptions())
+    , m_finder(
+          m_loop.timers(), m_store, settings.environment, settings.seeds.empty() ? milliseconds(0) : seedPatience,
+          std::random_device {}(), [this] { return m_links.connected(); },
+          [this](const auto& entries) { m_links.setListed(entries); })
 {
     m_view.onChange([this] { m_tasks.viewChanged(); });
     m_tasks.onChange([this] { m_links.wake(); });
--- /dev/null
+++ b/lib/liboriole/source/agent/entry_finder.cpp
@@ -0,0 +1,74 @@
+#include <oriole/agent/entry_finder.hpp>
+#include <oriole/helpers/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace oriole {
+
+namespace {
+
+constexpr milliseconds tickPeriod { 100 };
+constexpr milliseconds shortestBackOff { 500 };
+constexpr milliseconds longestBackOff { 10000 };
+
+} // namespace
+
+entry_finder::entry_finder(timer_service& timers, store_client& store, const std::string& environment,
+    milliseconds firstDelay, unsigned randomSeed, connected_source connected, found_handler found)
+    : m_timers(timers)
+    , m_store(store, environment)
+    , m_connected(std::move(connected))
+    , m_found(std::move(found))
+    , m_backOff(shortestBackOff)
+    , m_nextRead(timers.now() + firstDelay)
+    , m_random(randomSeed)
+    , m_alive(std::make_shared<bool>(true))
+{
+    m_tick = m_timers.subscribeEvery(tickPeriod, [this](time_point) { tick(); });
+}
+
+entry_finder::~entry_finder()
+{
+    m_timers.cancel(m_tick);
+}
+
+void entry_finder::tick()
+{
+    const auto now = m_timers.now();
+    if (m_connected() > 0) {
+        m_backOff = shortestBackOff;
+        m_nextRead = std::max(m_nextRead, now + jittered(shortestBackOff));
+        return;
+    }
+    if (m_reading || m_nextRead > now)
+        return;
+
+    m_nextRead = now + jittered(m_backOff);
+    m_backOff = std::min(2 * m_backOff, longestBackOff);
+    read();
+}
+
+void entry_finder::read()
+{
+    m_reading = true;
+    m_store.read([this, alive = std::weak_ptr(m_alive)](const result<control_snapshot>& answer) {
+        if (alive.expired())
+            return;
+        m_reading = false;
+        if (!answer) {
+            logEvent(log_level::Warning, "entry_look_up_failed", { { "error", answer.error().reason } });
+            return;
+        }
+        logEvent(log_level::Info, "entry_look_up", { { "entries", answer.value().entries.size() } });
+        m_found(answer.value().entries);
+    });
+}
+
+milliseconds entry_finder::jittered(milliseconds delay)
+{
+    std::uniform_int_distribution<std::int64_t> spread(delay.count() / 2, delay.count() + delay.count() / 2);
+    return milliseconds(spread(m_random));
+}
+
+} // namespace oriole
--- a/lib/liboriole/source/agent/entry_links.cpp
+++ b/lib/liboriole/source/agent/entry_links.cpp
@@ -94,11 +94,16 @@
     }));
 }
 
-void entry_links::addKnown(const std::vector<entry_address>& entries)
+void entry_links::setListed(const std::vector<entry_address>& entries)
 {
+    if (entries.empty())
+        return;
+    m_listed.clear();
     for (const auto& entry : entries) {
-        if (const auto address = parseEndpoint(entry.rpc))
+        if (const auto address = parseEndpoint(entry.rpc)) {
+            m_listed.insert(address.value());
             addLink(address.value());
+        }
     }
 }
 
@@ -224,16 +229,7 @@
     const auto view = rpc::read(received);
     if (m_view.apply(view, askedAt))
         entry->nextHeartbeat = std::min(entry->nextHeartbeat, m_loop.timers().now() + behindRetry);
-    if (view.entries.empty())
-        return;
-
-    m_listed.clear();
-    for (const auto& listed : view.entries) {
-        if (const auto address = parseEndpoint(listed.rpc)) {
-            m_listed.insert(address.value());
-            addLink(address.value());
-        }
-    }
+    setListed(view.entries);
 }
 
 void entry_links::fail(const link_ref& entry, const std::string& reason)
--- a/tests/integration/agent_fixture.hpp
+++ b/tests/integration/agent_fixture.hpp
@@ -4,10 +4,11 @@
 
 #include "harness/process.hpp"
 
-#include <oriole/control/configuration.hpp>
+#include <oriole/control/control_store.hpp>
 #include <oriole/helpers/event_loop.hpp>
 #include <oriole/rpc/connection.hpp>
 #include <oriole/rpc/convert.hpp>
+#include <oriole/store/etcd_store_client.hpp>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -101,8 +102,11 @@
 /// @brief Some agents in one rack, all with stand-ins.
 class agent_fixture {
 public:
-    explicit agent_fixture(unsigned workers)
-        : m_rpc(freeEndpoint())
+    /// @param seeded False: agents find the entry in the store only.
+    explicit agent_fixture(unsigned workers, bool seeded = true)
+        : store(freeEndpoint())
+        , m_seeded(seeded)
+        , m_rpc(freeEndpoint())
         , m_runtime(freeEndpoint())
     {
         entry.state.offer(failure_domain_states { 1, {} });
@@ -124,12 +128,13 @@
     void startAgent(unsigned index)
     {
         const auto name = workerName(index);
-        agents[index] = std::make_unique<process>("oriolewayd",
-            std::vector<std::string> { "agent", "--worker", name, "--rpc", toString(m_agentRpc[index]), "--store",
-                "http://" + toString(freeEndpoint()), "--environment", "test", "--failure-domain", "fd1", "--region",
-                "r1", "--rack", "k1", "--service", "column", "--backend", toString(backends[index]), "--runtime",
-                "http://" + toString(m_runtime) + "/workers/" + name, "--seed", toString(m_rpc) },
-            m_directory.file(name + ".log"));
+        std::vector<std::string> arguments { "agent", "--worker", name, "--rpc", toString(m_agentRpc[index]), "--store",
+            "http://" + toString(store), "--environment", "test", "--failure-domain", "fd1", "--region",
+            "r1", "--rack", "k1", "--service", "column", "--backend", toString(backends[index]), "--runtime",
+            "http://" + toString(m_runtime) + "/workers/" + name };
+        if (m_seeded)
+            arguments.insert(arguments.end(), { "--seed", toString(m_rpc) });
+        agents[index] = std::make_unique<process>("oriolewayd", arguments, m_directory.file(name + ".log"));
     }
 
     static std::string workerName(unsigned index) { return "w" + std::to_string(index); }
@@ -248,13 +253,34 @@
         return count;
     }
 
+    /// @brief Starts the stand-in of the store and puts the entry into it.
+    void startStore()
+    {
+        m_processes.push_back(std::make_unique<process>("standin_store",
+            std::vector<std::string> { "--listen", toString(store) }, m_directory.file("store.log")));
+        etcd_store_client client(loop, store);
+        control_store announcer(client, "test");
+        bool announced = false;
+        const auto again = [&] {
+            bool answered = false;
+            announcer.announceEntry({ "e1", toString(m_rpc), "r1" }, 0, [&](const auto& answer) {
+                announced = answer.has_value();
+                answered = true;
+            });
+            return wait([&] { return answered; }) && announced;
+        };
+        REQUIRE(wait(again));
+    }
+
     event_loop loop;
     played_entry entry;
+    endpoint store;
     std::vector<endpoint> backends;
     std::vector<std::unique_ptr<process>> agents;
 
 private:
     test_directory m_directory;
+    bool m_seeded;
     endpoint m_rpc;
     endpoint m_runtime;
     std::vector<endpoint> m_agentRpc;
--- a/tests/integration/agent_test.cpp
+++ b/tests/integration/agent_test.cpp
@@ -182,3 +182,11 @@
     REQUIRE(agent_fixture::get(all.backends[0], "/standin/executions").at("total") == 0);
     REQUIRE(all.countEvents("start") == 0);
 }
+
+TEST_CASE("agent: without seeds it finds the entries in the store, also when the store comes later")
+{
+    agent_fixture all(1, false);
+    REQUIRE(all.wait([&] { return all.agents[0]->running(); }));
+    all.startStore();
+    REQUIRE(all.waitReady());
+}
