--- a/tests/integration/store_test.cpp
+++ b/tests/integration/store_test.cpp
@@ -182,8 +182,8 @@
     const auto reads = store.count("reads") - readsBefore;
     const auto leaseCalls = store.count("lease_calls") - leaseCallsBefore;
     std::cout << "up: " << reads << " reads, " << leaseCalls << " renewals in 30 periods of reading, 3 entries\n";
-    REQUIRE(reads <= 3 * 31);
-    REQUIRE(leaseCalls <= 3 * 11);
+    REQUIRE(reads <= 3U * 31U);
+    REQUIRE(leaseCalls <= 3U * 11U);
     REQUIRE(reads > 0);
 
     store.setMode({ { "mode", "down" } });
