--- a/tests/measure/core_measure.cpp
+++ b/tests/measure/core_measure.cpp
@@ -11,6 +11,7 @@
 #include <CLI/CLI.hpp>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cmath>
 #include <cstdio>
@@ -222,6 +223,7 @@
     bool guaranteed = false;
 };
 
+constexpr std::array<unsigned, 3> memoryPerAccelerator { 4, 16, 48 }; ///< GB, of small jobs.
 constexpr milliseconds duration { 240000 };
 constexpr milliseconds outFrom { 80000 };
 constexpr milliseconds outUntil { 140000 };
@@ -264,6 +266,8 @@
                 asked = kind > 0.95 ? gang(16, adjacency::Rack) : gang(8);
                 length = std::exp(uniform(std::log(2), std::log(20)));
             }
+            if (asked.accelerators <= 4)
+                asked.memoryGb = asked.accelerators * memoryPerAccelerator[random() % memoryPerAccelerator.size()];
             const auto off = std::exp(uniform(std::log(0.1), std::log(10)));
             auto spec = jobNamed(owner.name, "j" + std::to_string(load.size()), asked, milliseconds(std::max(1L, std::lround(length * off * 1000))));
             spec.jobClass = owner.mayRunUrgent && kind < 0.05 ? job_class::Urgent : job_class::Normal;
@@ -525,14 +529,14 @@
         quantileOf(result.reclaim, 0.99), result.used, result.workOut, result.workBack, result.evictions, result.refusals, result.unfinished);
 }
 
-void measurePolicies(unsigned seeds)
+void measurePolicies(unsigned seeds, const std::vector<double>& loads)
 {
     std::printf("Seconds of scaled time, %u seeds, 3 entries, 88 accelerators; 'free' and 'recl.': share of time in which all unused guarantees could start at once "
                 "without and with eviction;\n'out'/'back': accelerators at work while a domain is out, and in the 20 s after, against those that are in.\n",
         seeds);
     std::puts("run                          compl.    p99 | wait8     p99 | wait16    p99 |  free  recl. | recl99|  used   out  back |  evict refuse open");
     for (const auto memory : { 512U, 256U }) {
-        for (const auto offered : { 0.6, 0.9, 1.2 }) {
+        for (const auto offered : loads) {
             for (const bool out : { false, true }) {
                 const load_options options { 1, out, memory, offered };
                 char label[64];
@@ -553,6 +557,8 @@
 {
     CLI::App app("Measures the decision core alone");
     unsigned seeds = 3;
+    std::vector<double> loads { 0.6, 0.9, 1.2 };
+    app.add_option("--load", loads, "Work offered against capacity, one comparison each");
     bool timesOnly = false;
     bool policiesOnly = false;
     app.add_option("--seeds", seeds, "Seeds per comparison");
@@ -563,6 +569,6 @@
     if (!policiesOnly)
         measureTimes();
     if (!timesOnly)
-        measurePolicies(seeds);
+        measurePolicies(seeds, loads);
     return 0;
 }
