--- a/lib/liboriole/source/core/guarantee_plan.cpp
+++ b/lib/liboriole/source/core/guarantee_plan.cpp
@@ -61,7 +61,11 @@
                 demand.partlyUsed.push_back({ granted[index].shape, attempt });
         }
     }
-    std::stable_sort(demand.partlyUsed.begin(), demand.partlyUsed.end(), [](const partly_used& left, const partly_used& right) { return larger_first()(left.granted, right.granted); });
+    // The rest of a cell on one worker is bound to its place; that of a gang has a choice and goes second.
+    std::stable_sort(demand.partlyUsed.begin(), demand.partlyUsed.end(), [](const partly_used& left, const partly_used& right) {
+        const bool leftBound = onOneWorker(left.granted);
+        return leftBound != onOneWorker(right.granted) ? leftBound : larger_first()(left.granted, right.granted);
+    });
     return demand;
 }
 
--- a/tests/unit/core/core_fuzz_test.cpp
+++ b/tests/unit/core/core_fuzz_test.cpp
@@ -72,3 +72,13 @@
         world.settle();
     }
 }
+
+TEST_CASE("the rest of a gang's guarantee does not take the rest of a cell on one worker")
+{
+    fuzz_world world({ .entries = 1, .workers = 6, .disturbances = false });
+    const std::vector<fuzz_step> steps { { 0, 0, 61, 1 }, { 0, 0, 7811, 0 }, { 0, 0, 0, 0 }, { 0, 0, 0, 0 }, { 0, 0, 3251, 1 }, { 226, 0, 0, 0 }, { 0, 0, 1, 0 }, { 3039, 31, 0, 0 }, { 0, 0, 4, 0 }, { 5218, 0, 0, 0 } };
+    for (const auto& step : steps) {
+        world.step(step);
+        REQUIRE(world.guaranteesPlaceable());
+    }
+}
