--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -1,5 +1,6 @@
 #include "harness/cluster.hpp"
 
+#include <numeric>
 #include <stdexcept>
 
 namespace oriole::harness {
@@ -51,7 +52,8 @@
     for (const auto* name : { "alpha", "beta", "gamma", "delta" })
         document["organisations"].push_back({ { "name", name }, { "weight", 1 }, { "may_run_urgent", true } });
     document["organisations"][0]["guarantees"] = json::array({ guaranteeOfOneWorker() });
-    document["organisations"][1]["guarantees"] = json::array({ guaranteeOfOneWorker() });
+    if (std::accumulate(settings.workersPerDomain.begin(), settings.workersPerDomain.end(), 0U) > 1)
+        document["organisations"][1]["guarantees"] = json::array({ guaranteeOfOneWorker() });
     document["failure_domains"] = json::array();
     for (std::size_t i = 0; i < settings.workersPerDomain.size(); ++i) {
         const auto& name = domainNames.at(i);
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -86,6 +86,13 @@
         ::kill(m_pid, number);
 }
 
+void process::freeze()
+{
+    signal(SIGSTOP);
+    siginfo_t ignored {};
+    ::waitid(P_PID, static_cast<id_t>(m_pid), &ignored, WSTOPPED | WEXITED | WNOWAIT);
+}
+
 void process::kill()
 {
     signal(SIGKILL);
