Task manager: one source file per concern

Its functions move unchanged to task_manager (calls and pending answers), _gangs, _tasks and _recovery, and the state of one attempt to task_run; no line was lost but the names of the moved struct.

--- a/lib/liboriole/include/oriole/agent/task_manager.hpp
+++ b/lib/liboriole/include/oriole/agent/task_manager.hpp
@@ -17,6 +17,8 @@
 
 namespace oriole {
 
+struct task_run;
+
 /// @brief Counters for metrics and tests.
 struct task_counters {
     std::uint64_t reservations = 0;
@@ -93,8 +95,7 @@
     [[nodiscard]] const task_counters& counters() const { return m_counters; }
 
 private:
-    struct run;
-    using run_ref = std::shared_ptr<run>;
+    using run_ref = std::shared_ptr<task_run>;
     struct pending_reserve;
     struct pending_release;
 
