--- a/lib/liboriole/include/oriole/http/http_server.hpp
+++ b/lib/liboriole/include/oriole/http/http_server.hpp
@@ -8,6 +8,8 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace oriole {
@@ -24,6 +26,8 @@
 struct http_server_limits {
     std::size_t largestBodyBytes = 8 << 20;
     unsigned threads = 256; ///< Requests handled at once; each holds one thread.
+    unsigned longRequests = 224; ///< Of these, requests to other paths than @c reservedPaths; more are refused with 503.
+    std::set<std::string> reservedPaths { "/healthz", "/readyz", "/metrics" }; ///< Must answer at once.
 };
 
 /// @brief Serves HTTP on threads of its own.
@@ -32,7 +36,7 @@
 /// body (413) before the body is read, closes the connection then, and never hands such a request on.
 class http_server {
 public:
-    /// @brief Handles one request; runs on a thread of the server and may block. Must not throw.
+    /// @brief Handles one request; runs on a thread of the server and may block. One that throws may have run.
     using handler = std::function<http_reply(const http_call&)>;
 
     /// @brief Starts to listen. Throws std::exception when the address cannot be bound.
--- a/lib/liboriole/source/entry/request_dispatcher.cpp
+++ b/lib/liboriole/source/entry/request_dispatcher.cpp
@@ -223,8 +223,11 @@
 {
     // A request that finds no worker stays in its place of the queue, and so holds up no other service.
     const std::vector<request_number> waiting(m_waiting.begin(), m_waiting.end());
-    for (const auto number : waiting)
-        route(number);
+    for (const auto number : waiting) {
+        // A reply within the call of another request's dispatch may have routed this one meanwhile.
+        if (const auto* target = find(number); target != nullptr && target->waitTimer)
+            route(number);
+    }
 }
 
 void request_dispatcher::scheduleWakeUp()
--- a/lib/liboriole/source/helpers/metrics.cpp
+++ b/lib/liboriole/source/helpers/metrics.cpp
@@ -186,12 +186,12 @@
     std::map<std::string, family<Metric>>& families, const std::string& name, const metric_labels& labels)
 {
     const std::lock_guard lock(m_mutex);
+    if (!families.contains(name) && kindsOf(name) > 0)
+        throw std::logic_error("metric " + name + " is already of another kind");
+
     auto& metric = families[name][labels];
-    if (metric == nullptr) {
-        if (kindsOf(name) > 1)
-            throw std::logic_error("metric " + name + " is already of another kind");
+    if (metric == nullptr)
         metric = std::make_unique<Metric>();
-    }
     return *metric;
 }
 
--- a/lib/liboriole/source/http/http_server.cpp
+++ b/lib/liboriole/source/http/http_server.cpp
@@ -1,3 +1,4 @@
+#include <oriole/helpers/log.hpp>
 #include <oriole/http/http_server.hpp>
 
 #include <cxxtools/eventloop.h>
@@ -20,6 +21,9 @@
 
 namespace {
 
+constexpr unsigned reservedThreads = 2;
+constexpr unsigned busyRetryAfterMs = 200;
+
 std::string lowerCase(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
@@ -40,10 +44,20 @@
     std::string reason;
 };
 
+std::size_t countHeaders(const cxxtools::http::Request& request, std::string_view lowerCaseName)
+{
+    std::size_t count = 0;
+    for (auto it = request.header().begin(); it != request.header().end(); ++it)
+        count += lowerCase(it->first) == lowerCaseName ? 1 : 0;
+    return count;
+}
+
 void checkLength(const cxxtools::http::Request& request, std::size_t largestBodyBytes)
 {
     if (request.hasHeader("Transfer-Encoding"))
         throw early_refusal(501, "Transfer-Encoding is not supported; send Content-Length");
+    if (countHeaders(request, "content-length") > 1)
+        throw early_refusal(400, "more than one Content-Length");
 
     const char* header = request.getHeader("Content-Length");
     if (header == nullptr) {
@@ -83,6 +97,27 @@
     out << source.body;
 }
 
+/// @brief Counts one more request for as long as it lives.
+class counted_request {
+public:
+    explicit counted_request(std::atomic<unsigned>& count)
+        : m_count(count)
+        , m_number(++count)
+    {
+    }
+
+    ~counted_request() { --m_count; }
+    counted_request(const counted_request&) = delete;
+    counted_request& operator=(const counted_request&) = delete;
+
+    /// @brief Requests counted when this one began, itself included.
+    [[nodiscard]] unsigned number() const { return m_number; }
+
+private:
+    std::atomic<unsigned>& m_count;
+    unsigned m_number;
+};
+
 http_reply refusalWithStatus(unsigned status, const std::string& reason)
 {
     auto reply = refusal(notRun(failure_kind::InvalidInput, reason));
@@ -96,10 +131,17 @@
 struct http_server::state {
     state(const endpoint& listen, const http_server_limits& wanted, handler handle);
 
+    [[nodiscard]] unsigned longRequestLimit() const
+    {
+        const unsigned threadsLeft = limits.threads - std::min(limits.threads, reservedThreads);
+        return std::max(1U, std::min(limits.longRequests, threadsLeft));
+    }
+
     http_server_limits limits;
     handler serve;
     std::atomic<bool> refusing { false };
     std::atomic<unsigned> running { 0 };
+    std::atomic<unsigned> longRunning { 0 };
     cxxtools::EventLoop loop;
     std::unique_ptr<cxxtools::http::Service> service;
     std::unique_ptr<cxxtools::http::Server> server;
@@ -127,13 +169,7 @@
 
     void reply(std::ostream& out, cxxtools::http::Request& request, cxxtools::http::Reply& reply) override
     {
-        // Counted before the check, so that a stop that sees no running request cannot miss this one.
-        ++m_state.running;
-        if (m_state.refusing)
-            write(out, reply, refusalWithStatus(503, "stopping"));
-        else
-            write(out, reply, m_state.serve(fromLibrary(request)));
-        --m_state.running;
+        write(out, reply, handle(fromLibrary(request)));
     }
 
     void replyError(std::ostream& out, cxxtools::http::Request&, cxxtools::http::Reply& reply,
@@ -147,6 +183,31 @@
     }
 
 private:
+    http_reply handle(const http_call& call)
+    {
+        // Counted before the check, so that a stop that sees no running request cannot miss this one.
+        const counted_request running(m_state.running);
+        if (m_state.refusing)
+            return refusalWithStatus(503, "stopping");
+        if (m_state.limits.reservedPaths.contains(call.path))
+            return serve(call);
+
+        const counted_request longRunning(m_state.longRunning);
+        if (longRunning.number() > m_state.longRequestLimit())
+            return refusal(notRun(failure_kind::Unavailable, "too many requests at once"), busyRetryAfterMs);
+        return serve(call);
+    }
+
+    http_reply serve(const http_call& call)
+    {
+        try {
+            return m_state.serve(call);
+        } catch (const std::exception& error) {
+            logEvent(log_level::Error, "http_handler_failed", { { "path", call.path }, { "error", error.what() } });
+            return refusal(mayHaveRun(failure_kind::Broken, "internal error"));
+        }
+    }
+
     State& m_state;
 };
 
