--- a/lib/liboriole/source/core/first_fit.cpp
+++ b/lib/liboriole/source/core/first_fit.cpp
@@ -2,6 +2,7 @@
 
 #include <oriole/core/fleet_room.hpp>
 #include <oriole/core/lifecycle.hpp>
+#include <oriole/core/migration.hpp>
 
 #include <algorithm>
 
@@ -38,13 +39,15 @@
 
 void startFirstFit(scheduler_tables& tables, std::vector<command>& commands, time_point now)
 {
+    leaveDomainsAtOnce(tables);
     auto room = freeRoom(tables);
     for (auto* job : waitingInOrder(tables)) {
         if (job->notBefore > now || !withinQuota(tables.organisationFor(job->spec.organisation), job->spec.shape))
             continue;
 
         auto roomForJob = room;
-        excludeFailedWorkers(tables, roomForJob, *job);
+        if (now < job->avoidUntil)
+            excludeFailedWorkers(tables, roomForJob, *job);
         const auto found = findPlace(tables, roomForJob, job->spec.shape, [](const room_at&, accelerator_set) { return 0.0; });
         if (!found)
             return;
