Dispatcher: a full fleet is told as 503; tests of crossing, waiting, limits and silent workers

Seen failing first: a request refused by full workers was told as 429, the status of the caller's own limits (429 against 503 in the new test). With the guard in wakeWaiting taken out, the test of waiting requests saw 3 dispatches of 2 requests; with it 2.

--- a/lib/liboriole/source/entry/request_dispatcher.cpp
+++ b/lib/liboriole/source/entry/request_dispatcher.cpp
@@ -299,7 +299,11 @@
         route(number);
         return;
     }
-    refuse(number, error, full ? m_settings.retryAfter : milliseconds::zero());
+    // A full fleet is no limit of the caller's, so it is told as 503 and not as 429.
+    if (full)
+        refuse(number, notRun(failure_kind::Unavailable, error.reason), m_settings.retryAfter);
+    else
+        refuse(number, error, milliseconds::zero());
 }
 
 bool request_dispatcher::mayRetry(request& target, const failure& error)
--- a/tests/unit/entry/request_dispatcher_test.cpp
+++ b/tests/unit/entry/request_dispatcher_test.cpp
@@ -20,6 +20,8 @@
     void dispatch(const oriole::worker_info& worker, oriole::backend_call call, handler done) override
     {
         sent.push_back({ worker.name, std::move(call), std::move(done) });
+        if (answerFirstAtOnce && sent.size() == 1)
+            answer(0, 200, "");
     }
 
     void answer(std::size_t index, unsigned status, const std::string& body)
@@ -35,6 +37,7 @@
     }
 
     std::vector<sent_call> sent;
+    bool answerFirstAtOnce = false;
 };
 
 oriole::worker_info makeWorker(const std::string& name, const std::string& rack = "r1")
@@ -138,3 +141,88 @@
     REQUIRE(f.outcomes.size() == 1);
     REQUIRE(f.metrics.counter("oriole_request_replies_dropped_total", { { "why", "late" } }).value() == 1);
 }
+
+TEST_CASE("a reply with another attempt's id is dropped and its own attempt may have run")
+{
+    fixture f;
+    f.submit(false);
+    const auto done = f.gateway.sent.at(0).done;
+    done({ "e1-9.1", refused });
+    CHECK(f.outcomes.at(0).ran == oriole::verdict::MayHaveRun);
+    CHECK(f.metrics.counter("oriole_request_replies_dropped_total", { { "why", "crossed" } }).value() == 1);
+}
+
+TEST_CASE("a request without a worker waits shortly and is then refused as not-run")
+{
+    fixture f;
+    for (const auto* name : { "w1", "w2", "w3", "w4" })
+        f.routes.remove(name);
+    f.submit();
+    CHECK(f.dispatcher.waiting() == 1);
+    f.submit();
+    f.routes.upsert(makeWorker("w5"));
+    f.dispatcher.workersChanged();
+    CHECK(f.gateway.sent.size() == 2);
+
+    f.routes.remove("w5");
+    f.submit();
+    f.advance(250ms);
+    REQUIRE(f.outcomes.size() == 1);
+    CHECK(f.outcomes[0].status == 503);
+    CHECK(f.outcomes[0].ran == oriole::verdict::NotRun);
+    CHECK(f.outcomes[0].retryAfterMs > 0);
+}
+
+TEST_CASE("waiting requests are sent once when a worker answers within the dispatch call")
+{
+    fixture f;
+    for (const auto* name : { "w1", "w2", "w3", "w4" })
+        f.routes.remove(name);
+    f.submit(false);
+    f.submit(false);
+    f.gateway.answerFirstAtOnce = true;
+    f.routes.upsert(makeWorker("w5"));
+    f.dispatcher.workersChanged();
+    CHECK(f.gateway.sent.size() == 2);
+}
+
+TEST_CASE("an organisation over its limit of requests at once is refused")
+{
+    fixture f;
+    oriole::configuration config;
+    config.organisations.emplace_back();
+    config.organisations[0].policy.name = "editors";
+    config.organisations[0].requestsAtOnce = 1;
+    f.dispatcher.configure(config);
+    f.submit();
+    f.submit();
+    CHECK(f.outcomes.at(0).status == 429);
+    CHECK(f.outcomes.at(0).ran == oriole::verdict::NotRun);
+    f.gateway.answer(0, 200, "");
+    f.submit();
+    CHECK(f.gateway.sent.size() == 2);
+}
+
+TEST_CASE("a repeatable request leaves a worker that fell silent, within the limit of attempts")
+{
+    fixture f;
+    f.submit();
+    for (std::size_t attempt = 0; attempt < 3; ++attempt) {
+        REQUIRE(f.gateway.sent.size() == attempt + 1);
+        f.dispatcher.workerLost(f.gateway.sent[attempt].worker);
+    }
+    CHECK(f.gateway.sent.size() == 3);
+    CHECK(f.outcomes.at(0).status == 502);
+    CHECK(f.outcomes.at(0).attempts == 3);
+}
+
+TEST_CASE("a full worker is no failure and all refusals together are not-run")
+{
+    fixture f;
+    f.submit();
+    for (std::size_t attempt = 0; attempt < 3; ++attempt)
+        f.gateway.fail(attempt, full);
+    CHECK(f.outcomes.at(0).status == 503);
+    CHECK(f.outcomes.at(0).ran == oriole::verdict::NotRun);
+    CHECK(f.outcomes.at(0).retryAfterMs > 0);
+}
