--- a/tests/unit/core/scheduler_test.cpp
+++ b/tests/unit/core/scheduler_test.cpp
@@ -130,3 +130,44 @@
     fixture.apply(worker_reported { "praha-w0", { running } });
     REQUIRE(only<start_attempt>(fixture.submit(jobNamed("a", "two", gang(8)))).size() == 1);
 }
+
+TEST_CASE("memory that a worker really uses bounds new starts")
+{
+    core_fixture fixture;
+    fixture.addWorkers(1);
+    task_report heavy;
+    heavy.attempt.id = { "b", "heavy", 1 };
+    heavy.attempt.allocations = { { "praha-w0", "", 1, 1, 8 } };
+    heavy.phase = task_phase::Running;
+    heavy.usedMemoryGb = 500;
+    fixture.apply(worker_reported { "praha-w0", { heavy } });
+    REQUIRE(only<start_attempt>(fixture.submit(jobNamed("a", "large", { 2, adjacency::Worker, 2, 64 }))).empty());
+    REQUIRE(only<start_attempt>(fixture.submit(jobNamed("a", "small", { 2, adjacency::Worker, 2, 8 }))).size() == 1);
+}
+
+TEST_CASE("a guaranteed job evicts borrowed work from a full fleet")
+{
+    core_fixture fixture;
+    fixture.addWorkers(1);
+    fixture.addOrganisations({ { .name = "owner", .guarantees = { { gang(8), 1 } } }, { .name = "other", .guarantees = {} } });
+    REQUIRE(only<start_attempt>(fixture.submit(jobNamed("other", "borrower", gang(8)))).size() == 1);
+    const auto started = only<start_attempt>(fixture.submit(jobNamed("owner", "sweep", gang(8))));
+    REQUIRE(started.size() == 1);
+    REQUIRE(started[0].attempt.guaranteed);
+    REQUIRE(started[0].evictBorrowed);
+    REQUIRE(started[0].reason.rule == "reclaim");
+}
+
+TEST_CASE("attempts leave a failure domain that is out, and none starts there")
+{
+    core_fixture fixture;
+    fixture.addWorkers(1);
+    const auto started = only<start_attempt>(fixture.submit(jobNamed("a", "job", gang(8))));
+    fixture.run(started[0].attempt.id);
+    fixture.apply(failure_domain_changed { "praha", true });
+    REQUIRE(only<evict_attempt>(fixture.tick()).size() == 1);
+    fixture.end(started[0].attempt.id, attempt_outcome::Evicted);
+    REQUIRE(only<start_attempt>(fixture.tick(5000ms)).empty());
+    fixture.apply(failure_domain_changed { "praha", false });
+    REQUIRE(only<start_attempt>(fixture.tick()).size() == 1);
+}
