A stopped entry answers all it took; an overdue request keeps its slot

Ruled out: waiting longer before the end, which only moves the moment. Now: 503 for a second, then the listening socket alone is shut down, then the end once no request runs. Cause 2: the agent freed the slot of a request at its deadline while the backend server still ran it, so more than its slots ran there and its own 429 reached callers as completed. Now the exchange goes on for up to 5 s past the deadline and holds the slot; the caller is told may-have-run at the deadline. Also: a caller who waits for a job is sent on to the new owner when its page moves.

--- a/lib/liboriole/include/oriole/agent/forwarder.hpp
+++ b/lib/liboriole/include/oriole/agent/forwarder.hpp
@@ -68,6 +68,9 @@
     void send(admission::ticket ticket);
     void answered(admission::ticket ticket, const result<http_reply>& reply);
     void tick();
+
+    /// @brief Answers running requests whose deadline has passed; they keep their slots.
+    void answerOverdue();
     void sendWaiting();
     void refuseWaiting(const failure& reason);
     void probe();
--- a/lib/liboriole/include/oriole/entry/http_api.hpp
+++ b/lib/liboriole/include/oriole/entry/http_api.hpp
@@ -31,6 +31,9 @@
     kj::Promise<http_reply> request(const http_call& call, bool mayForward);
     kj::Promise<http_reply> claim(const http_call& call, const request_submission& submission, bool mayForward);
     kj::Promise<http_reply> routeJobs(const http_call& call, const segments& path, bool mayForward);
+
+    /// @brief Asks the new owner when the page moved while a caller waited for a job here.
+    kj::Promise<http_reply> followOwner(const http_call& call, const std::string& organisation, http_reply reply);
     kj::Promise<http_reply> submitJob(const http_call& call);
     kj::Promise<http_reply> showJob(const http_call& call, const segments& path);
     kj::Promise<http_reply> cancelJob(const segments& path);
--- a/lib/liboriole/source/agent/forwarder.cpp
+++ b/lib/liboriole/source/agent/forwarder.cpp
@@ -13,6 +13,9 @@
 constexpr milliseconds probeTimeout { 900 };
 constexpr unsigned failedProbesToUnhealthy = 2;
 
+// A backend server goes on with a request after its deadline; until it answers, its slot is taken.
+constexpr milliseconds overrunLimit { 5000 };
+
 http_request toHttp(const backend_request& request, milliseconds left)
 {
     http_request target;
@@ -99,7 +102,7 @@
 {
     const auto& item = m_accepted.at(ticket);
     const auto left = std::chrono::duration_cast<milliseconds>(item.deadline - m_timers.now());
-    m_backend.send(toHttp(item.request, left), std::max(left, milliseconds(1)),
+    m_backend.send(toHttp(item.request, left), std::max(left, milliseconds(1)) + overrunLimit,
         [this, ticket, alive = std::weak_ptr(m_alive)](const result<http_reply>& reply) {
             if (!alive.expired())
                 answered(ticket, reply);
@@ -123,7 +126,19 @@
 
     const auto item = m_accepted.extract(ticket);
     sendWaiting();
-    item.mapped().done(reply);
+    if (item.mapped().done)
+        item.mapped().done(reply);
+}
+
+void forwarder::answerOverdue()
+{
+    std::vector<handler> overdue;
+    for (auto& [ticket, item] : m_accepted) {
+        if (item.done && item.deadline <= m_timers.now())
+            overdue.push_back(std::exchange(item.done, nullptr));
+    }
+    for (const auto& done : overdue)
+        done(mayHaveRun(failure_kind::Timeout, "no reply of the backend server in time"));
 }
 
 void forwarder::tick()
@@ -134,6 +149,7 @@
         refuse(item.mapped().request, notRun(failure_kind::Timeout, "the deadline passed in the agent's queue"),
             item.mapped().done);
     }
+    answerOverdue();
     sendWaiting();
 }
 
--- a/lib/liboriole/source/entry/entry_process.cpp
+++ b/lib/liboriole/source/entry/entry_process.cpp
@@ -3,6 +3,7 @@
 #include <oriole/entry/entry_rpc.hpp>
 #include <oriole/entry/http_api.hpp>
 #include <oriole/helpers/log.hpp>
+#include <oriole/http/listening_socket.hpp>
 #include <oriole/store/etcd_store_client.hpp>
 
 #include <cstdlib>
@@ -15,10 +16,14 @@
 
 // Requests that wait hold a thread each; what is beyond waits in the balancer.
 constexpr unsigned httpThreads = 512;
+constexpr unsigned longRequests = 480;
 constexpr milliseconds idleCheckPeriod { 20 };
 
-// A reply counts as handled a moment before its last byte has left.
-constexpr milliseconds lastReplyDelay { 100 };
+// How long new requests are told 503 before the listener ends: callers that keep connections learn of the stop.
+constexpr milliseconds refusalPeriod { 1000 };
+
+// From the end of the listener, or of the last reply, to the end of the process.
+constexpr milliseconds lastReplyDelay { 250 };
 
 http_reply handleOnLoop(const kj::Executor& executor, http_api& api, const http_call& call)
 {
@@ -56,13 +61,16 @@
     auto interface = makeEntryRpc(node, [&api](const http_call& call) { return api.handleForwarded(call); });
     rpc::serve(loop, settings.rpc, kj::mv(interface)).wait(loop.io().waitScope);
     const auto& executor = loop.executor();
-    http_server server(settings.http, { .threads = httpThreads },
+    http_server server(settings.http, { .threads = httpThreads, .longRequests = longRequests },
         [&executor, &api](const http_call& call) { return handleOnLoop(executor, api, call); });
 
     loop.onStopSignal([&] {
         node.leave([&] {
             server.refuseNew();
-            stopWhenIdle(loop, server);
+            loop.timers().subscribeOnce(refusalPeriod, [&](time_point) {
+                stopListening(settings.http);
+                stopWhenIdle(loop, server);
+            });
         });
     });
     node.start();
--- a/lib/liboriole/source/entry/http_api.cpp
+++ b/lib/liboriole/source/entry/http_api.cpp
@@ -212,13 +212,28 @@
     const bool oneJob = path.size() == 5;
     if (call.method == "POST" && !oneJob)
         return submitJob(call);
+    if (call.method == "GET" && oneJob) {
+        return showJob(call, path).then([this, call, mayForward, organisation = path[2]](http_reply&& reply) {
+            if (!mayForward)
+                return kj::Promise<http_reply>(kj::mv(reply));
+            return followOwner(call, organisation, std::move(reply));
+        });
+    }
     if (call.method == "GET")
-        return oneJob ? showJob(call, path) : kj::Promise<http_reply>(listJobs(path[2]));
+        return listJobs(path[2]);
     if (call.method == "DELETE" && oneJob)
         return cancelJob(path);
     return methodRefused();
 }
 
+kj::Promise<http_reply> http_api::followOwner(const http_call& call, const std::string& organisation, http_reply reply)
+{
+    const auto entry = m_node.pages.entryFor(organisation);
+    if (reply.status == httpStatus(notRun(failure_kind::Unavailable, {})) && entry != m_node.settings.name)
+        return forwardTo(m_node, entry, call, true);
+    return kj::mv(reply);
+}
+
 kj::Promise<http_reply> http_api::submitJob(const http_call& call)
 {
     const auto usable = m_node.usableConfiguration();
