RPC connections ask for the far side's interface once

Cause: an agent ended with 'terminate called after throwing kj::ExceptionImpl ... rpc-twoparty.c++:304 already shut down' (soak). Each gang heartbeat asked the connection for its bootstrap interface; on a network that was shut down this opens a second connection state, whose end shuts the network down again and throws in a destructor. Ruled out: two connects at once overwriting each other (the old connection is held by its call until it ends).

--- a/lib/liboriole/include/oriole/rpc/connection.hpp
+++ b/lib/liboriole/include/oriole/rpc/connection.hpp
@@ -21,18 +21,21 @@
     template <typename Interface>
     typename Interface::Client bootstrap()
     {
-        return bootstrapCapability().castAs<Interface>();
+        return m_bootstrap.castAs<Interface>();
     }
 
     /// @brief Resolves when the far side is gone.
     kj::Promise<void> onDisconnect() { return m_network.onDisconnect(); }
 
 private:
-    capnp::Capability::Client bootstrapCapability();
+    capnp::Capability::Client requestBootstrap();
 
     kj::Own<kj::AsyncIoStream> m_stream;
     capnp::TwoPartyVatNetwork m_network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+
+    // Asked for once: on a broken network a second request would open a second state, whose end throws.
+    capnp::Capability::Client m_bootstrap;
 };
 
 /// @brief Connects within @p timeout, else the promise fails.
--- a/lib/liboriole/source/rpc/connection.cpp
+++ b/lib/liboriole/source/rpc/connection.cpp
@@ -66,10 +66,11 @@
     : m_stream(kj::mv(stream))
     , m_network(*m_stream, capnp::rpc::twoparty::Side::CLIENT, readerOptions)
     , m_rpc(capnp::makeRpcClient(m_network))
+    , m_bootstrap(requestBootstrap())
 {
 }
 
-capnp::Capability::Client connection::bootstrapCapability()
+capnp::Capability::Client connection::requestBootstrap()
 {
     capnp::MallocMessageBuilder message;
     auto host = message.getRoot<capnp::rpc::twoparty::VatId>();
