A planned stop ends in time while the store is down

Cause: giving a page back was tried until the store took it; an entry stopped in an outage stayed (704 s seen by hand). Now each page waits 3 s at the most, all at once; a page not taken back is left to be taken over. Shown failing first: the new test, 'an entry that is stopped while the store is down', saw no exit within its bound of 30 s; with the change it passes.

--- a/lib/liboriole/include/oriole/entry/ownership.hpp
+++ b/lib/liboriole/include/oriole/entry/ownership.hpp
@@ -54,7 +54,8 @@
 
     [[nodiscard]] std::vector<page_ownership> owned() const;
 
-    /// @brief Gives all pages back and takes no more; @p done is called when none is held.
+    /// @brief Gives all pages back and takes no more; @p done is called when none is held, within a few seconds.
+    /// A page that the store does not take back in time is left to be taken over.
     void releaseAll(const std::function<void()>& done);
 
     event_source<std::string> acquired;
@@ -69,7 +70,6 @@
 
     void acquire(const std::string& organisation);
     void pageAcquired(const std::string& organisation, page_keeper& keeper);
-    void releaseNext(const std::shared_ptr<std::vector<std::string>>& left, const std::function<void()>& done);
 
     store_client& m_store;
     timer_service& m_timers;
--- a/lib/liboriole/include/oriole/pages/page_keeper.hpp
+++ b/lib/liboriole/include/oriole/pages/page_keeper.hpp
@@ -47,7 +47,7 @@
     /// held it; with `may-have-run` when a write that held it has an unknown end.
     void update(change apply, std::optional<milliseconds> patience, handler done);
 
-    /// @brief Gives the page back after its pending changes are committed.
+    /// @brief Gives the page back after its pending changes are committed, or fails after a few seconds.
     void release(handler done);
 
     /// @brief Sets what is called when another entry has taken the page.
--- a/lib/liboriole/source/entry/ownership.cpp
+++ b/lib/liboriole/source/entry/ownership.cpp
@@ -98,32 +98,21 @@
 void ownership::releaseAll(const std::function<void()>& done)
 {
     m_leaving = true;
-    auto left = std::make_shared<std::vector<std::string>>();
-    for (const auto& page : owned())
-        left->push_back(page.organisation);
-    releaseNext(left, done);
-}
-
-void ownership::releaseNext(
-    const std::shared_ptr<std::vector<std::string>>& left, const std::function<void()>& done)
-{
-    if (left->empty()) {
+    const auto pages = owned();
+    if (pages.empty()) {
         done();
         return;
     }
 
-    const auto name = left->back();
-    left->pop_back();
-    const auto keeper = find(name);
-    if (keeper == nullptr) {
-        releaseNext(left, done);
-        return;
+    auto left = std::make_shared<std::size_t>(pages.size());
+    for (const auto& page : pages) {
+        find(page.organisation)->release([this, name = page.organisation, left, done](const result<bool>&) {
+            m_slots[name].keeper = nullptr;
+            lost.emit(name);
+            if (--*left == 0)
+                done();
+        });
     }
-    keeper->release([this, name, left, done](const result<bool>&) {
-        m_slots[name].keeper = nullptr;
-        lost.emit(name);
-        releaseNext(left, done);
-    });
 }
 
 void ownership::acquire(const std::string& organisation)
--- a/lib/liboriole/source/pages/page_keeper.cpp
+++ b/lib/liboriole/source/pages/page_keeper.cpp
@@ -12,6 +12,7 @@
 constexpr milliseconds groupDelay { 5 };
 constexpr milliseconds firstRetryDelay { 50 };
 constexpr milliseconds longestRetryDelay { 1000 };
+constexpr milliseconds releasePatience { 3000 };
 
 // The store holds values up to a megabyte.
 constexpr std::size_t fullPageBytes = 700UL * 1024UL;
@@ -155,7 +156,7 @@
             self->m_owned = false;
         done(outcome);
     };
-    update([](organisation_page& page) { page.owner.clear(); }, std::nullopt, released);
+    update([](organisation_page& page) { page.owner.clear(); }, releasePatience, released);
 }
 
 void page_keeper::schedule(milliseconds delay)
--- a/tests/integration/leaving_test.cpp
+++ b/tests/integration/leaving_test.cpp
@@ -120,6 +120,14 @@
     }
 }
 
+TEST_CASE("an entry that is stopped while the store is down ends all the same")
+{
+    cluster system;
+    system.setStoreMode({ { "mode", "down" } });
+    system.entries[0].process->terminate();
+    REQUIRE(system.entries[0].process->waitForExit() == 0);
+}
+
 TEST_CASE("a stopped agent lets a running gang end or move whole")
 {
     cluster system;
