--- a/lib/liboriole/include/oriole/http/http_server.hpp
+++ b/lib/liboriole/include/oriole/http/http_server.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace oriole {
 
@@ -64,6 +65,9 @@
 /// @brief Makes a reply with a JSON refusal: verdict, reason and, if not zero, retry_after_ms.
 http_reply refusal(const failure& error, unsigned retryAfterMs = 0);
 
+/// @brief Splits a path at its slashes and decodes each segment; the leading slash makes none.
+std::vector<std::string> splitPath(const std::string& path);
+
 /// @brief Decodes %xx and + in a path segment or query value.
 std::string decodeUrl(const std::string& text);
 
--- a/lib/liboriole/include/oriole/store/store_client.hpp
+++ b/lib/liboriole/include/oriole/store/store_client.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace oriole {
@@ -49,6 +50,9 @@
     Down, ///< It refuses or does not answer; calls fail at once until a probe succeeds.
 };
 
+/// @brief Returns `up`, `slow` or `down`.
+std::string_view toString(store_health health);
+
 /// @brief Asynchronous client. Handlers run on the thread of the event loop, never inside the call itself.
 ///
 /// Each call counts against a token bucket and has a deadline. A `not-run` failure means that the store has not
--- a/lib/liboriole/source/entry/http_api.cpp
+++ b/lib/liboriole/source/entry/http_api.cpp
@@ -55,18 +55,6 @@
     return reply;
 }
 
-std::vector<std::string> split(const std::string& path)
-{
-    std::vector<std::string> parts;
-    std::size_t begin = 1;
-    while (begin <= path.size()) {
-        const auto end = std::min(path.find('/', begin), path.size());
-        parts.push_back(decodeUrl(path.substr(begin, end - begin)));
-        begin = end + 1;
-    }
-    return parts;
-}
-
 std::string header(const http_call& call, const std::string& name)
 {
     const auto found = call.headers.find(name);
@@ -126,7 +114,7 @@
 
 kj::Promise<http_reply> http_api::route(const http_call& call, bool mayForward)
 {
-    const auto path = split(call.path);
+    const auto path = splitPath(call.path);
     if (path.size() == 1 && path[0] == "healthz")
         return jsonReply(200, { { "healthy", true } });
     if (path.size() == 1 && path[0] == "readyz") {
--- a/lib/liboriole/source/entry/request_parser.cpp
+++ b/lib/liboriole/source/entry/request_parser.cpp
@@ -28,18 +28,6 @@
     return notRun(failure_kind::InvalidInput, reason);
 }
 
-std::vector<std::string> splitPath(const std::string& path)
-{
-    std::vector<std::string> parts;
-    std::size_t begin = 1;
-    while (begin <= path.size()) {
-        const auto end = std::min(path.find('/', begin), path.size());
-        parts.push_back(decodeUrl(path.substr(begin, end - begin)));
-        begin = end + 1;
-    }
-    return parts;
-}
-
 std::optional<std::string> header(const http_call& call, const std::string& name)
 {
     const auto found = call.headers.find(name);
--- a/lib/liboriole/source/entry/status_report.cpp
+++ b/lib/liboriole/source/entry/status_report.cpp
@@ -9,19 +9,6 @@
 
 using json = nlohmann::json;
 
-std::string_view healthName(store_health health)
-{
-    switch (health) {
-    case store_health::Up:
-        return "up";
-    case store_health::Slow:
-        return "slow";
-    case store_health::Down:
-        return "down";
-    }
-    return "down";
-}
-
 json describeShape(const shape& value)
 {
     return { { "accelerators", value.accelerators }, { "adjacency", toString(value.adjacency) } };
@@ -94,7 +81,7 @@
     return { { "entry", node.settings.name }, { "environment", node.settings.environment },
         { "region", node.settings.region }, { "failure_domain", node.settings.failureDomain },
         { "leaving", node.leaving() }, { "fresh", node.fresh() },
-        { "store", { { "health", healthName(node.store.health()) }, { "calls", node.store.calls() } } },
+        { "store", { { "health", toString(node.store.health()) }, { "calls", node.store.calls() } } },
         { "configuration_revision", node.control.state().configurationRevision() },
         { "failure_domains_out", node.control.state().failureDomains().out }, { "peers", std::move(peers) },
         { "owned", std::move(owned) }, { "workers", summary.workers },
--- a/lib/liboriole/source/http/http_server.cpp
+++ b/lib/liboriole/source/http/http_server.cpp
@@ -290,6 +290,18 @@
     return reply;
 }
 
+std::vector<std::string> splitPath(const std::string& path)
+{
+    std::vector<std::string> parts;
+    std::size_t begin = 1;
+    while (begin <= path.size()) {
+        const auto end = std::min(path.find('/', begin), path.size());
+        parts.push_back(decodeUrl(path.substr(begin, end - begin)));
+        begin = end + 1;
+    }
+    return parts;
+}
+
 std::string decodeUrl(const std::string& text)
 {
     std::string decoded;
--- a/lib/liboriole/source/store/etcd_store_client.cpp
+++ b/lib/liboriole/source/store/etcd_store_client.cpp
@@ -28,19 +28,6 @@
     Write,
 };
 
-std::string_view toString(store_health health)
-{
-    switch (health) {
-    case store_health::Up:
-        return "up";
-    case store_health::Slow:
-        return "slow";
-    case store_health::Down:
-        return "down";
-    }
-    return "down";
-}
-
 /// @brief One HTTP exchange, shared between the event loop and the thread that makes it.
 struct exchange_slot {
     enum class stage {
