A planned stop answers every caller whose connection stands

Cause: cxxtools sets TCP_DEFER_ACCEPT on its listener. A caller's connect() then returns while the connection is not yet in the accept queue; when the listener is shut down the system resets such connections, and those that wait to be accepted. With an accept every few hundred microseconds at the end of the stop, one caller in a few thousand is hit.

Change: the listener accepts at once; a stop first drops first packets of new connections by a socket filter, answers all that stand (503, at most 1.5 s for those that send nothing), and only then shuts the listener down.

--- a/lib/liboriole/include/oriole/http/http_server.hpp
+++ b/lib/liboriole/include/oriole/http/http_server.hpp
@@ -22,6 +22,9 @@
     std::string query; ///< As sent, without the question mark.
     std::map<std::string, std::string> headers;
     std::string body;
+
+    /// @return No value when the request has no such header.
+    [[nodiscard]] std::optional<std::string> header(const std::string& lowerCaseName) const;
 };
 
 struct http_server_limits {
--- a/lib/liboriole/source/agent/agent_settings.cpp
+++ b/lib/liboriole/source/agent/agent_settings.cpp
@@ -1,4 +1,5 @@
 #include <oriole/agent/agent_settings.hpp>
+#include <oriole/helpers/flag_error.hpp>
 
 #include <utility>
 
@@ -8,25 +9,20 @@
 
 constexpr unsigned mostAccelerators = 64;
 
-failure invalid(const std::string& flag, const std::string& value, const std::string& reason)
-{
-    return notRun(failure_kind::InvalidInput, flag + " '" + value + "': " + reason);
-}
-
 } // namespace
 
 result<agent_settings> checkAgentSettings(agent_settings settings)
 {
     if (settings.worker.empty())
-        return invalid("--worker", settings.worker, "must not be empty");
+        return invalidFlag("--worker", settings.worker, "must not be empty");
     if (settings.slots == 0)
-        return invalid("--slots", "0", "must be at least 1");
+        return invalidFlag("--slots", "0", "must be at least 1");
     if (settings.connections < settings.slots)
-        return invalid("--connections", std::to_string(settings.connections), "must not be less than --slots");
+        return invalidFlag("--connections", std::to_string(settings.connections), "must not be less than --slots");
     if (settings.accelerators > mostAccelerators)
-        return invalid("--accelerators", std::to_string(settings.accelerators), "must not be more than 64");
+        return invalidFlag("--accelerators", std::to_string(settings.accelerators), "must not be more than 64");
     if (settings.rpc.port == 0)
-        return invalid("--rpc", toString(settings.rpc), "must have a port");
+        return invalidFlag("--rpc", toString(settings.rpc), "must have a port");
     return settings;
 }
 
--- a/lib/liboriole/source/entry/entry_process.cpp
+++ b/lib/liboriole/source/entry/entry_process.cpp
@@ -22,7 +22,10 @@
 // How long new requests are told 503 before the listener ends: callers that keep connections learn of the stop.
 constexpr milliseconds refusalPeriod { 1000 };
 
-// From the end of the listener, or of the last reply, to the end of the process.
+// How long connections that are open when no new ones are let in may still send a request.
+constexpr milliseconds quietPeriod { 1500 };
+
+// From the end of the listener to the end of the process.
 constexpr milliseconds lastReplyDelay { 250 };
 
 http_reply handleOnLoop(const kj::Executor& executor, http_api& api, const http_call& call)
@@ -38,14 +41,51 @@
     return *reply;
 }
 
-void stopWhenIdle(event_loop& loop, const http_server& server)
-{
-    if (server.running() == 0) {
-        loop.timers().subscribeOnce(lastReplyDelay, [&loop](time_point) { loop.stop(); });
-        return;
+/// @brief Ends the HTTP side of an entry once nothing that a caller has sent waits for its reply.
+class http_stop {
+public:
+    http_stop(event_loop& loop, http_server& server, endpoint address)
+        : m_loop(loop)
+        , m_server(server)
+        , m_address(std::move(address))
+    {
+    }
+
+    void begin()
+    {
+        m_server.refuseNew();
+        m_loop.timers().subscribeOnce(refusalPeriod, [this](time_point) { hold(); });
+    }
+
+private:
+    void hold()
+    {
+        if (!holdNewConnections(m_address))
+            logEvent(log_level::Warning, "connections_not_held", { { "http", toString(m_address) } });
+        m_quietEnd = m_loop.timers().now() + quietPeriod;
+        stopWhenIdle();
     }
-    loop.timers().subscribeOnce(idleCheckPeriod, [&loop, &server](time_point) { stopWhenIdle(loop, server); });
-}
+
+    void stopWhenIdle()
+    {
+        if (m_server.running() == 0 && quiet()) {
+            stopListening(m_address);
+            m_loop.timers().subscribeOnce(lastReplyDelay, [this](time_point) { m_loop.stop(); });
+            return;
+        }
+        m_loop.timers().subscribeOnce(idleCheckPeriod, [this](time_point) { stopWhenIdle(); });
+    }
+
+    [[nodiscard]] bool quiet() const
+    {
+        return m_loop.timers().now() >= m_quietEnd || openConnections(m_address) == 0;
+    }
+
+    event_loop& m_loop;
+    http_server& m_server;
+    endpoint m_address;
+    time_point m_quietEnd;
+};
 
 } // namespace
 
@@ -64,15 +104,8 @@
     http_server server(settings.http, { .threads = httpThreads, .longRequests = longRequests },
         [&executor, &api](const http_call& call) { return handleOnLoop(executor, api, call); });
 
-    loop.onStopSignal([&] {
-        node.leave([&] {
-            server.refuseNew();
-            loop.timers().subscribeOnce(refusalPeriod, [&](time_point) {
-                stopListening(settings.http);
-                stopWhenIdle(loop, server);
-            });
-        });
-    });
+    http_stop stop(loop, server, settings.http);
+    loop.onStopSignal([&] { node.leave([&stop] { stop.begin(); }); });
     node.start();
     logEvent(log_level::Info, "entry_started",
         { { "http", toString(settings.http) }, { "rpc", toString(settings.rpc) } });
--- a/lib/liboriole/source/entry/entry_settings.cpp
+++ b/lib/liboriole/source/entry/entry_settings.cpp
@@ -1,4 +1,5 @@
 #include <oriole/entry/entry_settings.hpp>
+#include <oriole/helpers/flag_error.hpp>
 
 #include <algorithm>
 #include <cctype>
@@ -7,11 +8,6 @@
 
 namespace {
 
-failure invalid(const std::string& flag, const std::string& value, const std::string& reason)
-{
-    return notRun(failure_kind::InvalidInput, flag + " '" + value + "': " + reason);
-}
-
 // Names become part of keys in the store.
 bool isKeyPart(const std::string& name)
 {
@@ -25,13 +21,13 @@
 result<entry_settings> checkEntrySettings(entry_settings settings)
 {
     if (!isKeyPart(settings.name))
-        return invalid("--name", settings.name, "letters, digits, '-', '_' and '.' are allowed");
+        return invalidFlag("--name", settings.name, "letters, digits, '-', '_' and '.' are allowed");
     if (!isKeyPart(settings.environment))
-        return invalid("--environment", settings.environment, "letters, digits, '-', '_' and '.' are allowed");
+        return invalidFlag("--environment", settings.environment, "letters, digits, '-', '_' and '.' are allowed");
     if (settings.rpc.port == 0)
-        return invalid("--rpc", toString(settings.rpc), "must have a port");
+        return invalidFlag("--rpc", toString(settings.rpc), "must have a port");
     if (settings.http.port == 0)
-        return invalid("--http", toString(settings.http), "must have a port");
+        return invalidFlag("--http", toString(settings.http), "must have a port");
     if (settings.advertisedRpc.port == 0)
         settings.advertisedRpc = settings.rpc;
     return settings;
--- a/lib/liboriole/source/entry/http_api.cpp
+++ b/lib/liboriole/source/entry/http_api.cpp
@@ -55,12 +55,6 @@
     return reply;
 }
 
-std::string header(const http_call& call, const std::string& name)
-{
-    const auto found = call.headers.find(name);
-    return found == call.headers.end() ? std::string() : found->second;
-}
-
 std::optional<std::uint64_t> parseCount(const std::string& text)
 {
     std::uint64_t value = 0;
@@ -72,7 +66,7 @@
 
 std::string authorOf(const http_call& call)
 {
-    const auto author = header(call, "orioleway-author");
+    const auto author = call.header("orioleway-author").value_or("");
     return author.empty() ? "unknown" : author;
 }
 
--- a/lib/liboriole/source/entry/request_parser.cpp
+++ b/lib/liboriole/source/entry/request_parser.cpp
@@ -28,14 +28,6 @@
     return notRun(failure_kind::InvalidInput, reason);
 }
 
-std::optional<std::string> header(const http_call& call, const std::string& name)
-{
-    const auto found = call.headers.find(name);
-    if (found == call.headers.end())
-        return std::nullopt;
-    return found->second;
-}
-
 result<const organisation_config*> findOrganisation(const configuration& config, const std::string& name)
 {
     if (const auto* organisation = config.findOrganisation(name))
@@ -45,7 +37,7 @@
 
 result<std::optional<std::string>> parseKey(const http_call& call)
 {
-    const auto key = header(call, "idempotency-key");
+    const auto key = call.header("idempotency-key");
     if (!key)
         return std::optional<std::string> {};
     if (key->empty() || key->size() > longestKey)
@@ -58,7 +50,7 @@
 
 result<bool> parseUnrepeatable(const http_call& call)
 {
-    const auto text = header(call, "orioleway-unrepeatable");
+    const auto text = call.header("orioleway-unrepeatable");
     if (!text || *text == "false")
         return false;
     if (*text == "true")
@@ -68,7 +60,7 @@
 
 result<std::chrono::milliseconds> parseTimeout(const http_call& call, const service_config& service)
 {
-    const auto text = header(call, "orioleway-timeout-ms");
+    const auto text = call.header("orioleway-timeout-ms");
     if (!text)
         return service.defaultTimeout;
 
@@ -297,7 +289,7 @@
     submission.repeatable = !unrepeatable.value();
     submission.idempotencyKey = std::move(key).value();
     submission.timeout = timeout.value();
-    submission.contentType = header(call, "content-type").value_or(std::string(defaultContentType));
+    submission.contentType = call.header("content-type").value_or(std::string(defaultContentType));
     submission.body = call.body;
     return submission;
 }
--- a/lib/liboriole/source/http/http_client.cpp
+++ b/lib/liboriole/source/http/http_client.cpp
@@ -1,3 +1,4 @@
+#include <oriole/helpers/text.hpp>
 #include <oriole/http/http_client.hpp>
 
 #include <cxxtools/connectable.h>
@@ -12,7 +13,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cctype>
 #include <charconv>
 #include <optional>
 
@@ -20,12 +20,6 @@
 
 namespace {
 
-std::string lowerCase(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
-    return text;
-}
-
 template <typename Number>
 std::optional<Number> parseNumber(std::string_view text)
 {
--- a/lib/liboriole/source/http/http_server.cpp
+++ b/lib/liboriole/source/http/http_server.cpp
@@ -1,5 +1,7 @@
 #include <oriole/helpers/log.hpp>
+#include <oriole/helpers/text.hpp>
 #include <oriole/http/http_server.hpp>
+#include <oriole/http/listening_socket.hpp>
 
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/reply.h>
@@ -12,7 +14,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cctype>
 #include <charconv>
 #include <optional>
 #include <thread>
@@ -24,12 +25,6 @@
 constexpr unsigned reservedThreads = 2;
 constexpr unsigned busyRetryAfterMs = 200;
 
-std::string lowerCase(std::string text)
-{
-    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
-    return text;
-}
-
 /// @brief Thrown before a body is read, to refuse its request.
 struct early_refusal : std::exception {
     early_refusal(unsigned code, std::string text)
@@ -238,6 +233,7 @@
     , service(std::make_unique<request_service<state>>(*this))
     , server(std::make_unique<cxxtools::http::Server>(loop, listen.ip, listen.port))
 {
+    acceptWithoutData(listen);
     server->minThreads(4);
     server->maxThreads(limits.threads);
     server->addService(cxxtools::Regex("^/.*"), *service);
@@ -254,6 +250,14 @@
     stop();
 }
 
+std::optional<std::string> http_call::header(const std::string& lowerCaseName) const
+{
+    const auto found = headers.find(lowerCaseName);
+    if (found == headers.end())
+        return std::nullopt;
+    return found->second;
+}
+
 void http_server::refuseNew()
 {
     m_state->refusing = true;
--- a/main/oriolewayd/source/main.cpp
+++ b/main/oriolewayd/source/main.cpp
@@ -125,24 +125,15 @@
     flags.addLogLevel(settings.logLevel);
 }
 
-int runCheckedEntry(const oriole::entry_settings& settings)
+template <typename Settings, typename Check, typename Run>
+int runChecked(const Settings& settings, Check check, Run run)
 {
-    const auto checked = oriole::checkEntrySettings(settings);
+    const auto checked = check(settings);
     if (!checked) {
         std::cerr << checked.error().reason << '\n';
         return exitBadSettings;
     }
-    return oriole::runEntry(checked.value());
-}
-
-int runCheckedAgent(const oriole::agent_settings& settings)
-{
-    const auto checked = oriole::checkAgentSettings(settings);
-    if (!checked) {
-        std::cerr << checked.error().reason << '\n';
-        return exitBadSettings;
-    }
-    return oriole::runAgent(checked.value());
+    return run(checked.value());
 }
 
 } // namespace
@@ -165,5 +156,7 @@
     } catch (const CLI::ParseError& error) {
         return app.exit(error) == 0 ? 0 : exitBadSettings;
     }
-    return entryCommand->parsed() ? runCheckedEntry(entry) : runCheckedAgent(agent);
+    if (entryCommand->parsed())
+        return runChecked(entry, oriole::checkEntrySettings, oriole::runEntry);
+    return runChecked(agent, oriole::checkAgentSettings, oriole::runAgent);
 }
--- a/measure/policy_measure.cpp
+++ b/measure/policy_measure.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <iostream>
 #include <random>
+#include <thread>
 
 namespace {
 
@@ -41,6 +42,8 @@
     std::vector<double> reclaimMs;
     unsigned notReclaimed = 0;
     double bytesPerRequest = 0;
+    double bytesPerJob = 0; ///< Beyond idle traffic, over all links between entries and agents.
+    double idleBytesPerSecond = 0; ///< Over the same links.
     double abroadShare = 0; ///< Requests that ran outside the region of their entry.
     std::vector<double> busy; ///< Busy accelerators over time while a failure domain goes out and returns.
 };
@@ -325,6 +328,35 @@
     result.abroadShare = all == 0 ? 0 : static_cast<double>(all - home) / all;
 }
 
+// Every link is counted, so the figure bounds what jobs send between regions wherever their workers are.
+void measureJobBytes(cluster& system, measured& result)
+{
+    using clock = std::chrono::steady_clock;
+    constexpr unsigned jobs = 20;
+    constexpr unsigned runMs = 300;
+    constexpr auto idleTime = 4s;
+    const auto bytes = [&] {
+        std::uint64_t sum = 0;
+        for (const auto& entry : system.entries)
+            sum += entry.rpcLink->bytesToTarget() + entry.rpcLink->bytesToClient();
+        for (const auto& agent : system.agents)
+            sum += agent.rpcLink->bytesToTarget() + agent.rpcLink->bytesToClient();
+        return static_cast<double>(sum);
+    };
+    const auto idleBefore = bytes();
+    std::this_thread::sleep_for(idleTime);
+    result.idleBytesPerSecond = (bytes() - idleBefore) / std::chrono::duration<double>(idleTime).count();
+
+    const auto before = bytes();
+    const auto start = clock::now();
+    for (unsigned i = 0; i < jobs; ++i) {
+        const auto accepted = system.submitJob(0, "alpha", gangJob(acceleratorsPerWorker, "worker", runMs));
+        system.waitJob(0, "alpha", accepted.body.value("job", ""));
+    }
+    const auto seconds = std::chrono::duration<double>(clock::now() - start).count();
+    result.bytesPerJob = (bytes() - before - result.idleBytesPerSecond * seconds) / jobs;
+}
+
 cluster_settings settingsFor(const user& who, const std::string& policy)
 {
     cluster_settings settings { .entries = 2, .workersPerDomain = { 4, 4, 3 } };
@@ -341,6 +373,7 @@
     {
         cluster system(settingsFor(who, policy));
         measureRegions(system, result);
+        measureJobBytes(system, result);
         measureCompletion(system, who, seed, jobs, result);
     }
     {
@@ -380,6 +413,8 @@
         quantile(firstFit.reclaimMs, 0.99));
     row("reclaims that did not start in 5 s", guarantee.notReclaimed, firstFit.notReclaimed);
     row("entry-agent bytes per request", guarantee.bytesPerRequest, firstFit.bytesPerRequest);
+    row("control bytes per job of 8, all links", guarantee.bytesPerJob, firstFit.bytesPerJob);
+    row("idle control bytes per second, all links", guarantee.idleBytesPerSecond, firstFit.idleBytesPerSecond);
     row("share of requests that left their region", guarantee.abroadShare, firstFit.abroadShare);
 }
 
@@ -412,12 +447,16 @@
     std::uint64_t seed = 20261204;
     unsigned jobs = 160;
     std::string directory = "build";
+    std::string only;
+    app.add_option("--user", only, "measure only this user's size: sloupek or trust");
     app.add_option("--seed", seed, "seed of the work");
     app.add_option("--jobs", jobs, "jobs of the completion run");
     app.add_option("--directory", directory, "where the plots go");
     CLI11_PARSE(app, argc, argv);
     try {
         for (const auto& who : { user { "sloupek", 512, 1ms }, user { "trust", 256, 3ms } }) {
+            if (!only.empty() && only != who.name)
+                continue;
             const auto guarantee = measure(who, "guarantee", seed, jobs);
             const auto firstFit = measure(who, "first-fit", seed, jobs);
             print(who, guarantee, firstFit);
--- a/tests/integration/leaving_test.cpp
+++ b/tests/integration/leaving_test.cpp
@@ -1,7 +1,10 @@
 #include "harness/load.hpp"
+#include "unit/http/raw_peer.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <future>
+
 using namespace oriole;
 using namespace oriole::harness;
 using namespace std::chrono_literals;
@@ -120,6 +123,43 @@
     }
 }
 
+TEST_CASE("a caller that has connected when an entry stops still gets its reply")
+{
+    static constexpr auto connectEvery = 5ms;
+    static constexpr auto sendAfter = 600ms;
+    cluster system;
+    const auto& entry = system.entries[0];
+    entry.process->terminate();
+
+    std::vector<std::future<std::string>> replies;
+    try {
+        while (true) {
+            auto send = [connection = raw::socket_stream(entry.http)] {
+                std::this_thread::sleep_for(sendAfter);
+                connection.send("POST /v1/organisations/alpha/requests/column HTTP/1.1\r\nHost: a\r\n"
+                                "Content-Length: 2\r\nConnection: close\r\n\r\n{}");
+                return connection.readAll();
+            };
+            replies.push_back(std::async(std::launch::async, std::move(send)));
+            std::this_thread::sleep_for(connectEvery);
+        }
+    } catch (const std::runtime_error&) {
+        UNSCOPED_INFO("nobody listens any more");
+    }
+
+    REQUIRE(replies.size() > 20);
+    std::size_t without = 0;
+    for (std::size_t i = 0; i < replies.size(); ++i) {
+        const auto reply = replies[i].get();
+        if (reply.starts_with("HTTP/1.1 "))
+            continue;
+        ++without;
+        UNSCOPED_INFO("connection " << i << " of " << replies.size() << " got '" << reply << "'");
+    }
+    CHECK(without == 0);
+    CHECK(entry.process->waitForExit() == 0);
+}
+
 TEST_CASE("an entry that is stopped while the store is down ends all the same")
 {
     cluster system;
