--- a/lib/liboriole/include/oriole/agent/entry_links.hpp
+++ b/lib/liboriole/include/oriole/agent/entry_links.hpp
@@ -44,7 +44,7 @@
     /// @brief Sends a heartbeat to every entry now.
     void wake();
 
-    /// @brief Takes the list of live entries, from a view or from the store; an empty one changes nothing.
+    /// @brief Takes the list of live entries from the store; an empty one changes nothing.
     void setListed(const std::vector<entry_address>& entries);
 
     /// @brief Number of entries with a session.
@@ -59,6 +59,7 @@
 
     void tick();
     void addLink(const endpoint& address);
+    std::set<endpoint> addLinks(const std::vector<entry_address>& entries);
     void open(const link_ref& entry);
     kj::Promise<void> announce(const link_ref& entry);
     void heartbeat(const link_ref& entry);
@@ -77,7 +78,7 @@
     report_source m_source;
     acknowledged_handler m_acknowledged;
     std::vector<link_ref> m_links;
-    std::set<endpoint> m_listed; ///< Entries named by the last view that named any.
+    std::set<endpoint> m_listed; ///< Entries named by the store, until a view names any.
     bool m_started = false;
     std::minstd_rand m_random;
     std::shared_ptr<bool> m_alive;
--- a/lib/liboriole/include/oriole/entry/entry_node.hpp
+++ b/lib/liboriole/include/oriole/entry/entry_node.hpp
@@ -48,8 +48,8 @@
     /// @brief Pushes the control view to all agents and peers.
     void pushView();
 
-    void writePeerState(rpc::PeerState::Builder target, std::uint64_t receiverConfiguration);
-    void writeView(rpc::ControlView::Builder target, std::uint64_t receiverConfiguration);
+    /// @brief Writes the control view for an agent, without what the agent has said that it holds.
+    void writeView(rpc::ControlView::Builder target, const rpc::view_receiver& receiver);
 
     /// @brief How long the revision in force has been in force at every entry and worker known; zero if it is not.
     [[nodiscard]] milliseconds inForceEverywhere() const;
@@ -76,6 +76,8 @@
     [[nodiscard]] bool gone(const std::string& entry) const override;
     [[nodiscard]] std::optional<std::string> reportedOwner(const std::string& organisation) const override;
 
+    [[nodiscard]] std::vector<entry_address> liveAddresses() const;
+    [[nodiscard]] local_state localState() const;
     void subscribe();
     void configurationChanged();
     void failureDomainsChanged();
--- a/lib/liboriole/include/oriole/entry/job_service.hpp
+++ b/lib/liboriole/include/oriole/entry/job_service.hpp
@@ -6,6 +6,7 @@
 #include <oriole/entry/control_keeper.hpp>
 #include <oriole/entry/job_driver.hpp>
 #include <oriole/entry/ownership.hpp>
+#include <oriole/entry/scheduler_pacer.hpp>
 
 #include <functional>
 #include <map>
@@ -41,7 +42,7 @@
     /// @brief Jobs of the organisation that have not ended.
     [[nodiscard]] std::size_t waitingJobs(const std::string& organisation) const;
 
-    /// @brief Runs the decision core. @p mayStart is false while the control view is stale.
+    /// @brief Runs the decision core if anything calls for it. @p mayStart is false while the control view is stale.
     void tick(bool mayStart);
 
     /// @brief Ends of attempts that the pages have recorded and the agent may forget.
@@ -69,6 +70,7 @@
 
     using job_key = std::pair<std::string, std::string>;
 
+    void feed(const event& what);
     void acquired(const std::string& organisation);
     void lost(const std::string& organisation);
     void fence(const std::string& worker, const std::string& organisation);
@@ -92,7 +94,10 @@
     store_client& m_store;
     timer_service& m_timers;
     scheduler m_scheduler;
+    scheduler_pacer m_pacer;
     job_driver m_driver;
+    std::set<job_key> m_waiting; ///< Jobs that the core may start; for pacing only.
+    time_point m_leasesChecked;
     std::map<job_key, takeover> m_takeovers;
     std::map<job_key, std::vector<std::function<void()>>> m_waiters;
     std::set<std::string> m_knownDomains;
--- a/lib/liboriole/include/oriole/entry/peer_table.hpp
+++ b/lib/liboriole/include/oriole/entry/peer_table.hpp
@@ -32,13 +32,31 @@
     std::vector<page_ownership> owned;
 };
 
+/// @brief What this entry tells its peers about itself.
+struct local_state {
+    entry_address address;
+    bool readsStore = false;
+    bool fresh = false;
+    bool leaving = false;
+    control_state control;
+    std::vector<entry_address> entries; ///< Live ones, this one included.
+    std::vector<page_ownership> owned;
+};
+
 /// @brief Connects to every entry it learns of and exchanges states with it twice a second.
+///
+/// Each entry numbers its states and tells which state of the other side it holds. While both hold the newest, a short
+/// beat goes instead of the state, and only from the entry with the lower name: its beat and the reply to it serve both.
+/// Whatever is lost, late or from an earlier run leaves a number unacknowledged, so that the whole state is sent again.
 class peer_table {
 public:
-    /// @brief Fills in this entry's own state; the argument is the configuration revision that the peer holds.
-    using state_writer = std::function<void(rpc::PeerState::Builder, std::uint64_t)>;
+    using state_source = std::function<local_state()>;
 
-    peer_table(event_loop& loop, std::string self, state_writer writeOwn);
+    /// @param run Random per start of the process, not 0.
+    peer_table(event_loop& loop, std::string self, std::uint64_t run, state_source own);
+    ~peer_table();
+    peer_table(const peer_table&) = delete;
+    peer_table& operator=(const peer_table&) = delete;
 
     /// @brief Learns of an entry; known ones are kept.
     void learn(const entry_address& peer);
@@ -46,9 +64,28 @@
     /// @brief Learns of an address whose entry's name will be told in the first exchange.
     void learnSeed(const endpoint& address);
 
-    /// @brief Takes in the state that a peer sent by itself or in reply.
-    /// @param sent When the request left, or when it came in: the state is no older than that.
-    void heard(rpc::PeerState::Reader state, time_point sent);
+    /// @brief Takes in the state that a peer sent in reply.
+    /// @param sent When the request left: the state is no older than that.
+    void heard(rpc::PeerState::Reader reply, time_point sent);
+
+    /// @brief Answers a peer's exchange.
+    void answer(rpc::PeerState::Reader request, rpc::PeerState::Builder reply);
+
+    /// @brief Answers a peer's beat.
+    void answer(rpc::Entry::BeatParams::Reader request, rpc::Entry::BeatResults::Builder reply);
+
+    /// @brief Takes in the reply to a beat.
+    /// @param sent When the beat left.
+    void heard(rpc::Entry::BeatResults::Reader reply, const std::string& rpcAddress, time_point sent);
+
+    /// @brief True while the peer at the address and this entry hold each other's newest states, as far as known.
+    [[nodiscard]] bool inStep(const std::string& rpcAddress);
+
+    /// @brief Writes this entry's state for the peer at the address, without the lists that it has acknowledged.
+    void writeState(rpc::PeerState::Builder target, const std::string& rpcAddress);
+
+    /// @brief Writes a beat for the peer at the address.
+    void writeBeat(rpc::Entry::BeatParams::Builder target, const std::string& rpcAddress);
 
     /// @brief Exchanges with all peers now, without waiting for the next turn.
     void exchangeNow();
@@ -76,23 +113,61 @@
 private:
     struct peer {
         peer_state state;
+        std::uint64_t run = 0; ///< Of the process whose state is held; 0: none, or one that numbers nothing.
+        std::uint64_t version = 0; ///< Of the state that is held.
+        std::uint64_t acknowledged = 0; ///< Version of this entry's state that the peer holds.
+        std::uint64_t stamp = 0; ///< The last one that it told; goes back as an echo.
         kj::Own<rpc::connection> connection;
         std::optional<rpc::Entry::Client> client;
         time_point lastHeard;
+        time_point lastAsked; ///< When its last message came that asked for an answer.
         bool everHeard = false;
+        std::string aliasOf; ///< Another address of the entry that answers here; this one is not used then.
+        bool outdated = false; ///< It has said that it has a newer state than the one held.
         bool refusing = false; ///< The last connection was refused: no process listens there.
         bool exchanging = false;
         bool connecting = false;
+        unsigned leftToPeer = 0; ///< Turns in a row on which the peer's own beat served.
+    };
+
+    /// @brief What a message tells of the sender's knowledge.
+    struct acknowledgement {
+        std::uint64_t run = 0;
+        std::uint64_t version = 0;
+        std::uint64_t stamp = 0;
+        std::uint64_t echo = 0;
     };
 
+    void refreshOwn();
     void exchangeWith(const std::string& key);
+    kj::Promise<void> sendState(const std::string& key);
+    kj::Promise<void> sendBeat(const std::string& key);
+    void stateAnswered(const std::string& key, rpc::PeerState::Reader reply, time_point sent);
+    void exchangeEnded(const std::string& key, bool beat, std::uint64_t base);
+    [[nodiscard]] bool inStep(const peer& known) const;
+    [[nodiscard]] bool servedByPeer(const peer& known) const;
     void connect(const std::string& key);
+    void connected(const std::string& key, kj::Own<rpc::connection> opened);
+    void writeState(rpc::PeerState::Builder target, const peer& known) const;
+    void takeState(peer& known, rpc::PeerState::Reader source, std::optional<time_point> heardAt);
+    void takeRun(peer& known, std::uint64_t run);
+    void take(peer& known, const acknowledgement& told);
+    void take(peer& known, rpc::PeerState::Reader source);
+    void noteHeard(peer& known, time_point sent);
+    [[nodiscard]] std::optional<time_point> writtenAfter(const acknowledgement& told) const;
+    [[nodiscard]] std::uint64_t ownStamp() const;
     [[nodiscard]] bool live(const peer& candidate) const;
 
     event_loop& m_loop;
     std::string m_self;
-    state_writer m_writeOwn;
+    std::uint64_t m_run;
+    state_source m_source;
+    local_state m_own;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_entriesVersion = 0; ///< Version in which the list of entries changed last.
+    std::uint64_t m_ownedVersion = 0;
     std::map<std::string, peer> m_peers; ///< By RPC address.
+    timer_service::subscription_id m_turn = 0;
 };
 
 } // namespace oriole
--- a/lib/liboriole/include/oriole/entry/worker_table.hpp
+++ b/lib/liboriole/include/oriole/entry/worker_table.hpp
@@ -35,6 +35,7 @@
     std::uint64_t session = 0; ///< Grows with each announcement; heartbeats of older sessions do not count.
     time_point lastHeard;
     bool present = false;
+    bool changed = false; ///< The last report says other things of tasks or of the worker than the one before.
 };
 
 /// @brief Holds one record per worker and says when a worker joins, reports and falls silent.
@@ -53,7 +54,7 @@
     /// @brief The connection of a session broke.
     void disconnected(const std::string& worker, std::uint64_t session);
 
-    /// @brief The record, also of a worker that is silent; null when it never announced itself.
+    /// @brief The record, also of a worker that is silent; null when it never announced itself or was forgotten.
     [[nodiscard]] const worker_record* find(const std::string& worker) const;
 
     [[nodiscard]] bool present(const std::string& worker) const;
@@ -71,7 +72,11 @@
     /// @brief Emitted when a worker has been silent for too long or its connection broke.
     event_source<std::string> left;
 
+    /// @brief Emitted when the record of a worker that stayed silent for long was dropped.
+    event_source<std::string> forgotten;
+
 private:
+    void forgetLongSilent(time_point now);
     void findSilent(time_point now);
     void markAbsent(worker_record& record);
 
--- a/lib/liboriole/include/oriole/rpc/convert.hpp
+++ b/lib/liboriole/include/oriole/rpc/convert.hpp
@@ -42,12 +42,27 @@
     std::uint64_t configurationRevision = 0;
     bool fresh = false;
     bool leavingEntry = false;
-    std::vector<entry_address> entries;
+    std::vector<entry_address> entries; ///< Empty when the sender left the list out.
     failure_domain_states failureDomains;
     std::shared_ptr<const configuration_head> configuration; ///< Null when the sender left the document out.
+    std::uint64_t entriesDigest = 0; ///< Of the whole list of entries, also when it was left out.
 };
 
-/// @brief Fills a view for a receiver that holds @p receiverConfiguration; the document goes along only if newer.
+/// @brief What the receiver of a view has said that it holds; zeros when nothing is known.
+struct view_receiver {
+    std::uint64_t configuration = 0; ///< Revision.
+    std::uint64_t failureDomains = 0; ///< Revision.
+    std::uint64_t entriesDigest = 0;
+};
+
+/// @brief Fingerprint of a list of entries; 0 for an empty one.
+std::uint64_t digestOf(const std::vector<entry_address>& entries);
+
+/// @brief Fills a view; what the receiver holds already is left out.
+void write(ControlView::Builder target, const control_state& source, const std::vector<entry_address>& entries,
+    bool fresh, bool leavingEntry, const view_receiver& receiver);
+
+/// @brief As above, for a receiver of which only the revision of its configuration is known.
 void write(ControlView::Builder target, const control_state& source, const std::vector<entry_address>& entries,
     bool fresh, bool leavingEntry, std::uint64_t receiverConfiguration);
 
--- a/lib/liboriole/schema/oriole.capnp
+++ b/lib/liboriole/schema/oriole.capnp
@@ -36,10 +36,13 @@
   # The sender reads the store, or hears a peer that does, or knows that no entry can.
   entries @2 :List(EntryAddress);
   outFailureDomains @3 :List(Text);
+  # Empty when the receiver's revision is not behind.
   configuration @4 :Text;
   # The document as JSON; empty when the receiver's revision is not behind.
   leavingEntry @5 :Bool;
   # The sender is stopping: send it nothing new.
+  entriesDigest @6 :UInt64;
+  # Of the list of entries; the list is empty when the receiver's digest is the same.
 }
 
 struct WorkerInfo {
@@ -136,6 +139,8 @@
   failuresInRow @7 :UInt32;
   # Tasks that failed on this worker since the last one that finished.
   unhealthyAccelerators @8 :UInt64;
+  heardEntries @9 :UInt64;
+  # Digest of the list of entries that the receiver told last; 0 for none.
 }
 
 struct BackendRequest {
@@ -189,12 +194,27 @@
 }
 
 struct PeerState {
-  # What an entry tells its peers each second.
+  # What an entry tells a peer when something changed that the peer has not acknowledged.
   entry @0 :EntryAddress;
   view @1 :ControlView;
   readsStore @2 :Bool;
   owned @3 :List(PageOwnership);
   leaving @4 :Bool;
+  run @5 :UInt64;
+  # Random per start of the sender; 0 from one that numbers nothing.
+  version @6 :UInt64;
+  # Number of this state; grows with each change.
+  base @7 :UInt64;
+  # A list that is left out is the same as in this version; 0: nothing is left out.
+  entriesLeftOut @8 :Bool;
+  ownedLeftOut @9 :Bool;
+  heardRun @10 :UInt64;
+  heardVersion @11 :UInt64;
+  # The newest state of the receiver that the sender holds.
+  stamp @12 :UInt64;
+  # The sender's own clock. Only the sender reads it, when it comes back as an echo.
+  echo @13 :UInt64;
+  # The last stamp that the receiver told: this message was written after it.
 }
 
 interface Entry {
@@ -205,6 +225,9 @@
   # Peers exchange their states; either side learns a newer revision from it.
   forward @2 (call :HttpCall) -> (answer :HttpAnswer);
   # Handles a caller's request at the owner of its organisation.
+  beat @3 (run :UInt64, version :UInt64, heardRun :UInt64, heardVersion :UInt64, stamp :UInt64, echo :UInt64)
+      -> (run :UInt64, version :UInt64, stamp :UInt64, holds :Bool);
+  # In place of exchange while the receiver holds the sender's state. Not holds: it does not, and wants the whole.
 }
 
 interface AgentSession {
--- a/lib/liboriole/schema/oriole.capnp.h
+++ b/lib/liboriole/schema/oriole.capnp.h
@@ -64,6 +64,8 @@
 CAPNP_DECLARE_SCHEMA(91fae85c5d1941ca);
 CAPNP_DECLARE_SCHEMA(ffb4b549cef872c2);
 CAPNP_DECLARE_SCHEMA(e3a214ace0a6ec2c);
+CAPNP_DECLARE_SCHEMA(9f03c25edb7629a2);
+CAPNP_DECLARE_SCHEMA(e405e944bdcdd2f9);
 CAPNP_DECLARE_SCHEMA(f69fd8c7f7b0bd7a);
 CAPNP_DECLARE_SCHEMA(e9e8af299cc23227);
 CAPNP_DECLARE_SCHEMA(8ec3629736a5649f);
@@ -146,7 +148,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e78b3102e82f3620, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(e78b3102e82f3620, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -253,7 +255,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5fc01a917616343, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c5fc01a917616343, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -363,7 +365,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae5ec9624193495d, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ae5ec9624193495d, 8, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -384,6 +386,8 @@
   struct ExchangeResults;
   struct ForwardParams;
   struct ForwardResults;
+  struct BeatParams;
+  struct BeatResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -483,6 +487,36 @@
   };
 };
 
+struct Entry::BeatParams {
+  BeatParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9f03c25edb7629a2, 6, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Entry::BeatResults {
+  BeatResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e405e944bdcdd2f9, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct AgentSession {
   AgentSession() = delete;
 
@@ -1118,6 +1152,8 @@
 
   inline bool getLeavingEntry() const;
 
+  inline  ::uint64_t getEntriesDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1181,6 +1217,9 @@
   inline bool getLeavingEntry();
   inline void setLeavingEntry(bool value);
 
+  inline  ::uint64_t getEntriesDigest();
+  inline void setEntriesDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1948,6 +1987,8 @@
 
   inline  ::uint64_t getUnhealthyAccelerators() const;
 
+  inline  ::uint64_t getHeardEntries() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2011,6 +2052,9 @@
   inline  ::uint64_t getUnhealthyAccelerators();
   inline void setUnhealthyAccelerators( ::uint64_t value);
 
+  inline  ::uint64_t getHeardEntries();
+  inline void setHeardEntries( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2740,6 +2784,24 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint64_t getRun() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getBase() const;
+
+  inline bool getEntriesLeftOut() const;
+
+  inline bool getOwnedLeftOut() const;
+
+  inline  ::uint64_t getHeardRun() const;
+
+  inline  ::uint64_t getHeardVersion() const;
+
+  inline  ::uint64_t getStamp() const;
+
+  inline  ::uint64_t getEcho() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2795,6 +2857,33 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline bool getEntriesLeftOut();
+  inline void setEntriesLeftOut(bool value);
+
+  inline bool getOwnedLeftOut();
+  inline void setOwnedLeftOut(bool value);
+
+  inline  ::uint64_t getHeardRun();
+  inline void setHeardRun( ::uint64_t value);
+
+  inline  ::uint64_t getHeardVersion();
+  inline void setHeardVersion( ::uint64_t value);
+
+  inline  ::uint64_t getStamp();
+  inline void setStamp( ::uint64_t value);
+
+  inline  ::uint64_t getEcho();
+  inline void setEcho( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2848,6 +2937,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::oriole::rpc::Entry::ForwardParams,  ::oriole::rpc::Entry::ForwardResults> forwardRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::oriole::rpc::Entry::BeatParams,  ::oriole::rpc::Entry::BeatResults> beatRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2876,6 +2967,10 @@
   typedef  ::oriole::rpc::Entry::ForwardResults ForwardResults;
   typedef ::capnp::CallContext<ForwardParams, ForwardResults> ForwardContext;
   virtual ::kj::Promise<void> forward(ForwardContext context);
+  typedef  ::oriole::rpc::Entry::BeatParams BeatParams;
+  typedef  ::oriole::rpc::Entry::BeatResults BeatResults;
+  typedef ::capnp::CallContext<BeatParams, BeatResults> BeatContext;
+  virtual ::kj::Promise<void> beat(BeatContext context);
 
   inline  ::oriole::rpc::Entry::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3410,6 +3505,198 @@
 };
 #endif  // !CAPNP_LITE
 
+class Entry::BeatParams::Reader {
+public:
+  typedef BeatParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRun() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getHeardRun() const;
+
+  inline  ::uint64_t getHeardVersion() const;
+
+  inline  ::uint64_t getStamp() const;
+
+  inline  ::uint64_t getEcho() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Entry::BeatParams::Builder {
+public:
+  typedef BeatParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getHeardRun();
+  inline void setHeardRun( ::uint64_t value);
+
+  inline  ::uint64_t getHeardVersion();
+  inline void setHeardVersion( ::uint64_t value);
+
+  inline  ::uint64_t getStamp();
+  inline void setStamp( ::uint64_t value);
+
+  inline  ::uint64_t getEcho();
+  inline void setEcho( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Entry::BeatParams::Pipeline {
+public:
+  typedef BeatParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Entry::BeatResults::Reader {
+public:
+  typedef BeatResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRun() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline  ::uint64_t getStamp() const;
+
+  inline bool getHolds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Entry::BeatResults::Builder {
+public:
+  typedef BeatResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline  ::uint64_t getStamp();
+  inline void setStamp( ::uint64_t value);
+
+  inline bool getHolds();
+  inline void setHolds(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Entry::BeatResults::Pipeline {
+public:
+  typedef BeatResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class AgentSession::Client
     : public virtual ::capnp::Capability::Client {
@@ -5523,6 +5810,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t ControlView::Reader::getEntriesDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ControlView::Builder::getEntriesDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ControlView::Builder::setEntriesDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkerInfo::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -6570,6 +6871,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t AgentReport::Reader::getHeardEntries() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AgentReport::Builder::getHeardEntries() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void AgentReport::Builder::setHeardEntries( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool BackendRequest::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -7535,6 +7850,132 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t PeerState::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerState::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerState::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerState::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerState::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerState::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerState::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerState::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerState::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerState::Reader::getEntriesLeftOut() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerState::Builder::getEntriesLeftOut() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void PeerState::Builder::setEntriesLeftOut(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PeerState::Reader::getOwnedLeftOut() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerState::Builder::getOwnedLeftOut() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerState::Builder::setOwnedLeftOut(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerState::Reader::getHeardRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerState::Builder::getHeardRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void PeerState::Builder::setHeardRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerState::Reader::getHeardVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerState::Builder::getHeardVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void PeerState::Builder::setHeardVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerState::Reader::getStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerState::Builder::getStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void PeerState::Builder::setStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PeerState::Reader::getEcho() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerState::Builder::getEcho() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void PeerState::Builder::setEcho( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Entry::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -7871,6 +8312,146 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Entry::BeatParams::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::BeatParams::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Entry::BeatParams::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Entry::BeatParams::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::BeatParams::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Entry::BeatParams::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Entry::BeatParams::Reader::getHeardRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::BeatParams::Builder::getHeardRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Entry::BeatParams::Builder::setHeardRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Entry::BeatParams::Reader::getHeardVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::BeatParams::Builder::getHeardVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Entry::BeatParams::Builder::setHeardVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Entry::BeatParams::Reader::getStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::BeatParams::Builder::getStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Entry::BeatParams::Builder::setStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Entry::BeatParams::Reader::getEcho() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::BeatParams::Builder::getEcho() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Entry::BeatParams::Builder::setEcho( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Entry::BeatResults::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::BeatResults::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Entry::BeatResults::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Entry::BeatResults::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::BeatResults::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Entry::BeatResults::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Entry::BeatResults::Reader::getStamp() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Entry::BeatResults::Builder::getStamp() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Entry::BeatResults::Builder::setStamp( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Entry::BeatResults::Reader::getHolds() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool Entry::BeatResults::Builder::getHolds() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void Entry::BeatResults::Builder::setHolds(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline AgentSession::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/lib/liboriole/source/agent/entry_links.cpp
+++ b/lib/liboriole/source/agent/entry_links.cpp
@@ -17,11 +17,13 @@
 constexpr milliseconds shortestBackOff { 100 };
 constexpr milliseconds longestBackOff { 2000 };
 
-void writeReport(rpc::AgentReport::Builder target, const agent_report& source, const control_state& state, bool full)
+void writeReport(rpc::AgentReport::Builder target, const agent_report& source, const control_state& state, bool full,
+    std::uint64_t heardEntries)
 {
     auto revision = target.initRevision();
     revision.setConfiguration(state.configurationRevision());
     revision.setFailureDomains(state.failureDomains().revision);
+    target.setHeardEntries(heardEntries);
     target.setTasksChanged(full);
     if (full) {
         auto tasks = target.initTasks(static_cast<unsigned>(source.tasks.size()));
@@ -55,6 +57,8 @@
     bool wanted = false; ///< Another heartbeat is wanted as soon as the one under way is answered.
     time_point sentAt;
     time_point nextHeartbeat;
+    std::set<endpoint> listed; ///< Entries that it named last.
+    std::uint64_t entriesDigest = 0; ///< Of that list.
     std::uint64_t heardVersion = 0; ///< Version of the tasks that the entry has taken.
 };
 
@@ -96,15 +100,20 @@
 
 void entry_links::setListed(const std::vector<entry_address>& entries)
 {
-    if (entries.empty())
-        return;
-    m_listed.clear();
+    if (!entries.empty())
+        m_listed = addLinks(entries);
+}
+
+std::set<endpoint> entry_links::addLinks(const std::vector<entry_address>& entries)
+{
+    std::set<endpoint> addresses;
     for (const auto& entry : entries) {
         if (const auto address = parseEndpoint(entry.rpc)) {
-            m_listed.insert(address.value());
+            addresses.insert(address.value());
             addLink(address.value());
         }
     }
+    return addresses;
 }
 
 unsigned entry_links::connected() const
@@ -195,7 +204,8 @@
 {
     const auto report = m_source();
     auto request = entry->session->heartbeatRequest();
-    writeReport(request.initReport(), report, m_view.state(), entry->heardVersion != report.tasksVersion);
+    writeReport(request.initReport(), report, m_view.state(), entry->heardVersion != report.tasksVersion,
+        entry->entriesDigest);
 
     entry->inFlight = true;
     entry->wanted = false;
@@ -229,7 +239,11 @@
     const auto view = rpc::read(received);
     if (m_view.apply(view, askedAt))
         entry->nextHeartbeat = std::min(entry->nextHeartbeat, m_loop.timers().now() + behindRetry);
-    setListed(view.entries);
+    if (view.entries.empty())
+        return;
+    m_listed.clear();
+    entry->listed = addLinks(view.entries);
+    entry->entriesDigest = view.entriesDigest;
 }
 
 void entry_links::fail(const link_ref& entry, const std::string& reason)
@@ -237,15 +251,20 @@
     logEvent(log_level::Info, "entry_lost", { { "entry", toString(entry->address) }, { "reason", reason } });
     entry->now = link::state::Failed;
     entry->inFlight = false;
+    entry->listed.clear();
+    entry->entriesDigest = 0;
     entry->nextAttempt = m_loop.timers().now() + jittered(entry->backOff);
     entry->backOff = std::min(2 * entry->backOff, longestBackOff);
 }
 
 void entry_links::dropUnlisted()
 {
+    auto listedByAny = m_listed;
+    for (const auto& entry : m_links)
+        listedByAny.insert(entry->listed.begin(), entry->listed.end());
     std::erase_if(m_links, [&](const auto& entry) {
         const bool seed = std::find(m_seeds.begin(), m_seeds.end(), entry->address) != m_seeds.end();
-        const bool listed = m_listed.empty() || m_listed.contains(entry->address);
+        const bool listed = listedByAny.empty() || listedByAny.contains(entry->address);
         return entry->now == link::state::Closed && !seed && !listed;
     });
 }
--- a/lib/liboriole/source/entry/entry_node.cpp
+++ b/lib/liboriole/source/entry/entry_node.cpp
@@ -33,6 +33,12 @@
     return target;
 }
 
+std::uint64_t randomRun()
+{
+    std::random_device source;
+    return std::uniform_int_distribution<std::uint64_t>(1)(source);
+}
+
 entry_address addressOf(const entry_settings& settings)
 {
     return { settings.name, toString(settings.advertisedRpc), settings.region };
@@ -49,7 +55,7 @@
     , controlStore(store, settings.environment, &loop.timers())
     , control(store, controlStore, loop.timers(), addressOf(settings))
     , workers(loop.timers())
-    , peers(loop, settings.name, [this](auto target, auto revision) { writePeerState(target, revision); })
+    , peers(loop, settings.name, randomRun(), [this] { return localState(); })
     , pages(store, loop.timers(), *this, settings.environment, settings.name)
     , routes(routerSettings(settings), health)
     , agents(loop, workers)
@@ -84,6 +90,7 @@
     workers.joined.subscribe([this](const worker_record& worker) { workerJoined(worker); });
     workers.heard.subscribe([this](const worker_record& worker) { workerHeard(worker); });
     workers.left.subscribe([this](const std::string& worker) { workerLeft(worker); });
+    workers.forgotten.subscribe([this](const std::string& worker) { health.remove(worker); });
 }
 
 void entry_node::leave(std::function<void()> done)
@@ -143,34 +150,31 @@
         if (!worker.present)
             continue;
         auto request = workers.agent(name).applyViewRequest();
-        writeView(request.initView(), worker.report.configurationRevision);
+        writeView(request.initView(), { .configuration = worker.report.configurationRevision });
         loop.detach("push view", request.send().ignoreResult());
     }
     peers.exchangeNow();
 }
 
-void entry_node::writePeerState(rpc::PeerState::Builder target, std::uint64_t receiverConfiguration)
-{
-    rpc::write(target.initEntry(), addressOf(settings));
-    writeView(target.initView(), receiverConfiguration);
-    target.setReadsStore(control.readsStore());
-    target.setLeaving(m_leaving);
-    const auto owned = pages.owned();
-    auto list = target.initOwned(static_cast<unsigned>(owned.size()));
-    for (unsigned i = 0; i < list.size(); ++i) {
-        list[i].setOrganisation(owned[i].organisation);
-        list[i].setEpoch(owned[i].epoch);
-    }
-}
-
-void entry_node::writeView(rpc::ControlView::Builder target, std::uint64_t receiverConfiguration)
+std::vector<entry_address> entry_node::liveAddresses() const
 {
     std::vector<entry_address> entries;
     if (!m_leaving)
         entries.push_back(addressOf(settings));
     for (const auto& peer : peers.livePeers())
         entries.push_back(peer.address);
-    rpc::write(target, control.state(), entries, fresh(), m_leaving, receiverConfiguration);
+    return entries;
+}
+
+local_state entry_node::localState() const
+{
+    return { addressOf(settings), control.readsStore(), fresh(), m_leaving, control.state(), liveAddresses(),
+        pages.owned() };
+}
+
+void entry_node::writeView(rpc::ControlView::Builder target, const rpc::view_receiver& receiver)
+{
+    rpc::write(target, control.state(), liveAddresses(), fresh(), m_leaving, receiver);
 }
 
 std::vector<std::string> entry_node::liveEntries() const
--- a/lib/liboriole/source/entry/entry_rpc.cpp
+++ b/lib/liboriole/source/entry/entry_rpc.cpp
@@ -52,12 +52,13 @@
     kj::Promise<void> heartbeat(HeartbeatContext context) override
     {
         const auto report = context.getParams().getReport();
-        const auto configuration = report.getRevision().getConfiguration();
+        const rpc::view_receiver receiver { report.getRevision().getConfiguration(),
+            report.getRevision().getFailureDomains(), report.getHeardEntries() };
         if (!m_node.workers.reported(m_worker, m_session, read(report)))
             return KJ_EXCEPTION(FAILED, "replaced by a later session");
 
         auto results = context.getResults();
-        m_node.writeView(results.initView(), configuration);
+        m_node.writeView(results.initView(), receiver);
         const auto ids = m_node.jobs.acknowledged(*m_node.workers.find(m_worker));
         auto list = results.initAcknowledged(static_cast<unsigned>(ids.size()));
         for (unsigned i = 0; i < list.size(); ++i)
@@ -86,16 +87,19 @@
         const auto session = m_node.workers.announced(info, params.getAgent());
         auto results = context.getResults();
         results.setSession(kj::heap<agent_session>(m_node, info.name, session));
-        m_node.writeView(results.initView(), 0);
+        m_node.writeView(results.initView(), {});
         return kj::READY_NOW;
     }
 
     kj::Promise<void> exchange(ExchangeContext context) override
     {
-        const auto state = context.getParams().getState();
-        m_node.peers.heard(state, m_node.loop.timers().now());
-        m_node.writePeerState(
-            context.getResults().initState(), state.getView().getRevision().getConfiguration());
+        m_node.peers.answer(context.getParams().getState(), context.getResults().initState());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> beat(BeatContext context) override
+    {
+        m_node.peers.answer(context.getParams(), context.getResults());
         return kj::READY_NOW;
     }
 
--- a/lib/liboriole/source/entry/job_service.cpp
+++ b/lib/liboriole/source/entry/job_service.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds repeatableTakeoverLimit { 6000 };
 constexpr milliseconds unrepeatableTakeoverLimit { 20000 };
 
+constexpr milliseconds leaseCheckPeriod { 100 };
+
 failure notOwned()
 {
     return notRun(failure_kind::Unavailable, "this entry does not own the organisation");
@@ -54,6 +56,7 @@
         if (keeper == nullptr)
             return;
         command.attempt.epoch = keeper->epoch();
+        service.m_waiting.erase({ command.attempt.id.organisation, command.attempt.id.job });
         service.m_driver.start(command);
     }
 
@@ -76,15 +79,15 @@
     m_pages.acquired.subscribe([this](const std::string& organisation) { acquired(organisation); });
     m_pages.lost.subscribe([this](const std::string& organisation) { lost(organisation); });
     m_workers.joined.subscribe([this](const worker_record& worker) {
-        m_scheduler.apply(worker_joined { worker.info }, m_timers.now());
+        feed(worker_joined { worker.info });
         for (const auto& page : m_pages.owned())
             fence(worker.info.name, page.organisation);
     });
     m_workers.heard.subscribe([this](const worker_record& worker) { workerHeard(worker); });
     m_workers.left.subscribe(
-        [this](const std::string& worker) { m_scheduler.apply(worker_left { worker }, m_timers.now()); });
+        [this](const std::string& worker) { feed(worker_left { worker }); });
     m_driver.running.subscribe([this](const attempt_id& id) {
-        m_scheduler.apply(attempt_running { id }, m_timers.now());
+        feed(attempt_running { id });
         update(id.organisation, [id](organisation_page& page) {
             if (const auto job = page.jobs.find(id.job); job != page.jobs.end() && !isEnd(job->second.state))
                 job->second.state = job_state::Running;
@@ -178,7 +181,7 @@
     }
 
     logEvent(log_level::Info, "job_cancel_requested", { { "organisation", organisation }, { "job", job } });
-    m_scheduler.apply(job_cancelled { organisation, job }, m_timers.now());
+    feed(job_cancelled { organisation, job });
     wait(organisation, job, patience, std::move(done));
 }
 
@@ -205,14 +208,25 @@
 void job_service::tick(bool mayStart)
 {
     const auto now = m_timers.now();
-    m_driver.findLost(now);
-    findLostTakeovers(now);
-    if (!mayStart)
+    if (now - m_leasesChecked >= leaseCheckPeriod) {
+        m_leasesChecked = now;
+        m_driver.findLost(now);
+        findLostTakeovers(now);
+    }
+    if (!mayStart || !m_pacer.due(now, m_waiting.size()))
         return;
-    for (const auto& command : m_scheduler.tick(now))
+    const auto commands = m_scheduler.tick(now);
+    m_pacer.ran(now, m_waiting.size(), !commands.empty());
+    for (const auto& command : commands)
         std::visit(visitor { *this }, command);
 }
 
+void job_service::feed(const event& what)
+{
+    m_scheduler.apply(what, m_timers.now());
+    m_pacer.changed();
+}
+
 std::vector<attempt_id> job_service::acknowledged(const worker_record& worker) const
 {
     std::vector<attempt_id> ids;
@@ -242,7 +256,7 @@
     organisations_changed change;
     for (const auto& organisation : head->parsed.organisations)
         change.organisations.push_back(organisation.policy);
-    m_scheduler.apply(change, m_timers.now());
+    feed(change);
     for (const auto& domain : head->parsed.failureDomains)
         m_knownDomains.insert(domain.name);
 
@@ -255,7 +269,7 @@
     const auto& out = m_control.state().failureDomains().out;
     m_knownDomains.insert(out.begin(), out.end());
     for (const auto& domain : m_knownDomains)
-        m_scheduler.apply(failure_domain_changed { domain, out.contains(domain) }, m_timers.now());
+        feed(failure_domain_changed { domain, out.contains(domain) });
 }
 
 void job_service::acquired(const std::string& organisation)
@@ -277,9 +291,10 @@
 
 void job_service::lost(const std::string& organisation)
 {
-    m_scheduler.apply(organisation_released { organisation }, m_timers.now());
+    feed(organisation_released { organisation });
     m_driver.dropOrganisation(organisation);
     std::erase_if(m_takeovers, [&](const auto& item) { return item.first.first == organisation; });
+    std::erase_if(m_waiting, [&](const auto& key) { return key.first == organisation; });
     for (auto& [key, waiters] : m_waiters) {
         if (key.first == organisation)
             notifyWaiters(key);
@@ -326,7 +341,7 @@
     logEvent(log_level::Info, "attempt_adopted",
         { { "organisation", key.first }, { "job", key.second }, { "attempt", running.id.number },
             { "lead_phase", lead ? toString(lead->phase) : "unknown" } });
-    m_scheduler.apply(job_adopted { job.spec, running }, m_timers.now());
+    feed(job_adopted { job.spec, running });
     m_driver.adopt(running);
     if (lead && lead->phase != task_phase::Reserved)
         return;
@@ -378,10 +393,13 @@
 
 void job_service::attemptEnded(const attempt_ended& what)
 {
-    m_scheduler.apply(what, m_timers.now());
+    feed(what);
+    if (what.outcome != attempt_outcome::Finished)
+        m_pacer.backedOff(m_timers.now());
     const auto keeper = m_pages.find(what.id.organisation);
     if (keeper == nullptr)
         return;
+    m_waiting.emplace(what.id.organisation, what.id.job);
     const auto job = keeper->page().jobs.find(what.id.job);
     // An attempt refused before it was recorded leaves nothing to write.
     if (job == keeper->page().jobs.end() || !job->second.recorded || job->second.recorded->id != what.id)
@@ -402,6 +420,8 @@
     m_scheduler.apply(
         worker_reported { worker.info.name, worker.report.tasks, worker.report.leaving, worker.report.failuresInRow },
         m_timers.now());
+    if (worker.changed)
+        m_pacer.changed();
     releaseStale(worker);
 }
 
@@ -425,6 +445,7 @@
 
 void job_service::finishJob(const finish_job& command)
 {
+    m_waiting.erase({ command.organisation, command.job });
     logEvent(log_level::Info, "job_ended",
         { { "organisation", command.organisation }, { "job", command.job }, { "outcome", toString(command.outcome) },
             { "reason", command.reason } });
@@ -463,7 +484,8 @@
     if (keeper == nullptr)
         return;
     const auto last = std::max(job.lastAttempt, firstAttemptOf(keeper->epoch()));
-    m_scheduler.apply(job_added { job.spec, last, waited }, m_timers.now());
+    m_waiting.emplace(job.spec.organisation, job.spec.id);
+    feed(job_added { job.spec, last, waited });
 }
 
 void job_service::update(const std::string& organisation, page_keeper::change change)
--- a/lib/liboriole/source/entry/worker_table.cpp
+++ b/lib/liboriole/source/entry/worker_table.cpp
@@ -1,6 +1,7 @@
 #include <oriole/entry/worker_table.hpp>
 #include <oriole/helpers/log.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace oriole {
@@ -9,6 +10,21 @@
 
 constexpr milliseconds silenceLimit { 3000 };
 constexpr milliseconds checkPeriod { 250 };
+constexpr std::chrono::minutes forgetAfter { 10 };
+
+// The last report showed tasks, which go on as long as their gang holds, with or without any entry.
+constexpr std::chrono::hours forgetWithTasksAfter { 24 };
+
+bool differs(const worker_report& next, const worker_report& last)
+{
+    return next.tasksChanged || next.leaving != last.leaving || next.failuresInRow != last.failuresInRow;
+}
+
+bool mayStillRun(const worker_record& record)
+{
+    const auto& tasks = record.report.tasks;
+    return std::any_of(tasks.begin(), tasks.end(), [](const auto& task) { return !isEnd(task.phase); });
+}
 
 } // namespace
 
@@ -40,6 +56,7 @@
         return false;
 
     auto& record = found->second;
+    record.changed = !record.present || differs(report, record.report);
     if (!report.tasksChanged)
         report.tasks = std::move(record.report.tasks);
     record.report = std::move(report);
@@ -83,6 +100,23 @@
         if (record.present && now - record.lastHeard > silenceLimit)
             markAbsent(record);
     }
+    forgetLongSilent(now);
+}
+
+void worker_table::forgetLongSilent(time_point now)
+{
+    std::vector<std::string> forgettable;
+    for (const auto& [name, record] : m_workers) {
+        const auto silence = now - record.lastHeard;
+        if (!record.present && silence > forgetAfter && (silence > forgetWithTasksAfter || !mayStillRun(record)))
+            forgettable.push_back(name);
+    }
+    for (const auto& name : forgettable) {
+        m_workers.erase(name);
+        m_agents.erase(name);
+        logEvent(log_level::Info, "worker_forgotten", { { "worker", name } });
+        forgotten.emit(name);
+    }
 }
 
 void worker_table::markAbsent(worker_record& record)
--- a/lib/liboriole/source/rpc/convert.cpp
+++ b/lib/liboriole/source/rpc/convert.cpp
@@ -1,6 +1,11 @@
 #include <oriole/rpc/convert.hpp>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
 #include <array>
+#include <string>
 #include <utility>
 
 namespace oriole::rpc {
@@ -247,8 +252,18 @@
     return target;
 }
 
+std::uint64_t digestOf(const std::vector<entry_address>& entries)
+{
+    if (entries.empty())
+        return 0;
+    std::string text;
+    for (const auto& entry : entries)
+        text += entry.name + '\n' + entry.rpc + '\n' + entry.region + '\n';
+    return std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size()));
+}
+
 void write(ControlView::Builder target, const control_state& source, const std::vector<entry_address>& entries,
-    bool fresh, bool leavingEntry, std::uint64_t receiverConfiguration)
+    bool fresh, bool leavingEntry, const view_receiver& receiver)
 {
     auto revision = target.initRevision();
     revision.setConfiguration(source.configurationRevision());
@@ -257,19 +272,30 @@
     target.setFresh(fresh);
     target.setLeavingEntry(leavingEntry);
 
-    auto addresses = target.initEntries(static_cast<unsigned>(entries.size()));
-    for (unsigned i = 0; i < addresses.size(); ++i)
-        write(addresses[i], entries[i]);
+    target.setEntriesDigest(digestOf(entries));
+    if (target.getEntriesDigest() != receiver.entriesDigest) {
+        auto addresses = target.initEntries(static_cast<unsigned>(entries.size()));
+        for (unsigned i = 0; i < addresses.size(); ++i)
+            write(addresses[i], entries[i]);
+    }
 
-    auto out = target.initOutFailureDomains(static_cast<unsigned>(source.failureDomains().out.size()));
-    unsigned position = 0;
-    for (const auto& name : source.failureDomains().out)
-        out.set(position++, name);
+    if (source.failureDomains().revision > receiver.failureDomains) {
+        auto out = target.initOutFailureDomains(static_cast<unsigned>(source.failureDomains().out.size()));
+        unsigned position = 0;
+        for (const auto& name : source.failureDomains().out)
+            out.set(position++, name);
+    }
 
-    if (source.configurationRevision() > receiverConfiguration)
+    if (source.configurationRevision() > receiver.configuration)
         target.setConfiguration(source.configuration()->document);
 }
 
+void write(ControlView::Builder target, const control_state& source, const std::vector<entry_address>& entries,
+    bool fresh, bool leavingEntry, std::uint64_t receiverConfiguration)
+{
+    write(target, source, entries, fresh, leavingEntry, view_receiver { .configuration = receiverConfiguration });
+}
+
 control_view read(ControlView::Reader source)
 {
     control_view target;
@@ -278,6 +304,7 @@
     target.leavingEntry = source.getLeavingEntry();
     for (const auto entry : source.getEntries())
         target.entries.push_back(read(entry));
+    target.entriesDigest = source.getEntriesDigest();
 
     target.failureDomains.revision = source.getRevision().getFailureDomains();
     for (const auto name : source.getOutFailureDomains())
--- a/measure/capacity_measure.cpp
+++ b/measure/capacity_measure.cpp
@@ -4,9 +4,15 @@
 #include "harness/cluster.hpp"
 #include "harness/statistics.hpp"
 
+#include <CLI/CLI.hpp>
+
 #include <chrono>
 #include <cstdio>
+#include <iostream>
+#include <set>
+#include <string>
 #include <thread>
+#include <utility>
 
 using namespace oriole;
 using namespace oriole::harness;
@@ -131,25 +137,92 @@
         quantile(spread, 1.0), static_cast<double>(entryBytes(all) - bytesBefore) / changes / all.agents.size());
 }
 
-} // namespace
+/// @brief Submits a job and waits for its first task.
+/// @return The time that it took, in milliseconds, and the job.
+std::pair<double, std::string> start(const cluster& all, const std::string& organisation, const json& job)
+{
+    const auto begin = std::chrono::steady_clock::now();
+    const std::string id = all.submitJob(0, organisation, job).body.at("job");
+    while (all.runtimeEvents("start", id).empty())
+        std::this_thread::sleep_for(2ms);
+    return { std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin).count(), id };
+}
+
+/// @brief Time from the call to the first task of an urgent job, on a free worker or by eviction.
+void measureStarts(const char* where, unsigned rounds, bool full)
+{
+    cluster all(sized(1, 3));
+    auto borrowed = gangJob(8, "worker", 600000);
+    borrowed["payload"] = json { { "standin_never_ends", true } }.dump();
+    for (std::size_t i = 0; full && i < all.agents.size(); ++i)
+        start(all, "gamma", borrowed);
+    auto urgent = gangJob(8, "worker", 100);
+    urgent["class"] = "urgent";
+    std::vector<double> taken;
+    for (unsigned round = 0; round < rounds; ++round) {
+        std::this_thread::sleep_for(1500ms); // Until the evicted job runs again, and all is at rest.
+        const auto [milliseconds, id] = start(all, "alpha", urgent);
+        all.waitJob(0, "alpha", id);
+        taken.push_back(milliseconds);
+    }
+    std::printf("%-16s %6u %8.0f %11.0f\n", where, rounds, quantile(taken, 0.5), quantile(taken, 1.0));
+}
+
+void measureStartTimes()
+{
+    constexpr unsigned rounds = 20;
+    std::puts("\nfrom the call to the first task of an urgent job, 1 entry, 3 workers");
+    std::puts("where            rounds   p50 ms  slowest ms");
+    measureStarts("free worker", rounds, false);
+    measureStarts("by eviction", rounds, true);
+}
 
-int main()
+void measureIdleSizes()
 {
     std::puts("idle: share of a core in %, memory in MiB, bytes of RPC per agent and second, store calls per entry and second");
     std::puts("entries  agents  entry core %  entry MiB  agent core %  agent MiB  RPC B/s per agent  store calls/s");
     for (const auto workers : { 3U, 12U, 24U, 48U })
         measureIdle(3, workers);
-    measureIdle(1, 12);
-    measureIdle(2, 12);
+    for (const auto entries : { 1U, 2U, 4U, 6U })
+        measureIdle(entries, 12);
+}
 
+void measureJobSizes()
+{
     std::puts("\njobs that wait in one page of one entry");
     std::puts("   jobs  accepted/s  store calls/job  entry ms of core/job  entry KiB/job  core % at rest");
     for (const auto jobs : { 96U, 384U, 1200U })
         measureJobs(jobs);
+}
 
+void measureChangeSizes()
+{
     std::puts("\nconfiguration changes, 3 entries");
     std::puts(" agents    changes  in force p50 ms  slowest ms  RPC bytes per agent and change");
     for (const auto workers : { 3U, 12U, 24U })
         measureChanges(workers, 10);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Measures what entries, agents and the store spend per agent, per job and per configuration change.");
+    std::set<std::string> parts { "idle", "jobs", "starts", "changes" };
+    app.add_option("--parts", parts, "which of idle, jobs, starts, changes to measure; all by default")->delimiter(',');
+    CLI11_PARSE(app, argc, argv);
+    try {
+        if (parts.contains("idle"))
+            measureIdleSizes();
+        if (parts.contains("jobs"))
+            measureJobSizes();
+        if (parts.contains("starts"))
+            measureStartTimes();
+        if (parts.contains("changes"))
+            measureChangeSizes();
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << "\n";
+        return 1;
+    }
     return 0;
 }
