Agents: processors and memory are part of the ledger

Cause: reservations, evictions and waiting went by accelerators only, so that two entries could both give the same processors or memory away, and a reservation that may evict took nothing that held only processors. Now no sum of holders is above what the worker has (memory as used, if that is more than was asked for). A reservation that may evict takes the borrowed tasks on its accelerators, then those not started and those started last until processors and memory are enough; it waits until these have ended. Adopted tasks are taken as they are: they run already.

What is being stopped is no longer listed; test added.

--- a/lib/liboriole/include/oriole/agent/ledger.hpp
+++ b/lib/liboriole/include/oriole/agent/ledger.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <oriole/core/model.hpp>
+#include <oriole/core/place.hpp>
 #include <oriole/helpers/timer_service.hpp>
 
 #include <cstdint>
@@ -20,7 +21,7 @@
     task_phase phase = task_phase::Reserved;
     time_point since; ///< Of the reservation, later of the start.
     time_point expires; ///< End of the reservation while in phase Reserved.
-    bool waiting = false; ///< Reserved, but evicted tasks still hold some of its accelerators.
+    bool waiting = false; ///< Reserved, but evicted tasks still hold some of what it needs.
     bool mayHaveRun = false;
     bool leads = false;
     std::string reason;
@@ -47,16 +48,17 @@
     bool mayHaveRun = false;
 };
 
-/// @brief Authority over one worker's accelerators. Pure: no I/O, no clock.
+/// @brief Authority over one worker's accelerators, processors and memory. Pure: no I/O, no clock.
 ///
 /// Every operation may be repeated or arrive out of order. An attempt that has ended here, or was released before it
 /// was known, is never accepted afterwards; records of that are bounded in number, the oldest go first.
 class ledger {
 public:
+    /// @param capacity All that the worker has.
     /// @param rememberedEnds Number of ended attempts that late messages are checked against.
-    ledger(std::string worker, unsigned accelerators, std::size_t rememberedEnds = 65536);
+    ledger(std::string worker, const amounts& capacity, std::size_t rememberedEnds = 65536);
 
-    /// @brief Holds accelerators for @p ttl. A guaranteed or urgent attempt with @p evictBorrowed takes those of
+    /// @brief Holds the attempt's share for @p ttl. A guaranteed or urgent attempt with @p evictBorrowed takes that of
     /// borrowed tasks that are not urgent; these are evicted first.
     reservation_answer reserve(const attempt& wanted, milliseconds ttl, bool evictBorrowed, time_point now);
 
@@ -130,13 +132,17 @@
     reservation_answer repeated(ledger_entry& held, const attempt& wanted, milliseconds ttl, time_point now);
     reservation_answer claim(ledger_entry wanted, bool mayEvict);
     std::vector<attempt_id> conflicts(const ledger_entry& wanted) const;
+    /// Adds the borrowed tasks to @p victims that have to go for the processors and memory of @p wanted.
+    bool makeRoom(const ledger_entry& wanted, bool mayEvict, std::vector<attempt_id>& victims) const;
+    /// True while others hold any of what @p wanted needs; what waits itself holds nothing yet.
+    [[nodiscard]] bool blocked(const ledger_entry& wanted) const;
     void settle();
     void remember(const attempt_id& id, bool mayHaveRun);
     const remembered_end* rememberedEnd(const attempt_id& id) const;
     std::uint64_t highestEpoch(const std::string& organisation) const;
 
     std::string m_worker;
-    accelerator_set m_all;
+    amounts m_capacity;
     std::size_t m_rememberedEnds;
     bool m_out = false;
     std::uint64_t m_version = 1;
--- a/lib/liboriole/source/agent/agent_process.cpp
+++ b/lib/liboriole/source/agent/agent_process.cpp
@@ -75,7 +75,7 @@
     , m_runtime(m_loop, settings.runtime)
     , m_peers(m_loop)
     , m_backend(settings.backend, settings.slots)
-    , m_tasks(settings.worker, settings.accelerators, m_loop.timers(), m_runtime, m_peers, m_view)
+    , m_tasks(settings.worker, { firstAccelerators(settings.accelerators), settings.processors, settings.memoryGb }, m_loop.timers(), m_runtime, m_peers, m_view)
     , m_requests(settings.service, settings.slots, settings.connections, m_loop.timers(), m_backend, m_view)
     , m_agent(kj::heap<agent_server>(m_requests, m_tasks, m_view, m_loop, [this] { m_links.wake(); }))
     , m_links(
--- a/lib/liboriole/source/agent/ledger.cpp
+++ b/lib/liboriole/source/agent/ledger.cpp
@@ -7,13 +7,6 @@
 
 namespace {
 
-constexpr unsigned acceleratorBits = 64;
-
-accelerator_set firstAccelerators(unsigned count)
-{
-    return count >= acceleratorBits ? ~accelerator_set { 0 } : (accelerator_set { 1 } << count) - 1;
-}
-
 const allocation* shareOf(const attempt& wanted, const std::string& worker)
 {
     const auto found = std::find_if(wanted.allocations.begin(), wanted.allocations.end(),
@@ -21,6 +14,12 @@
     return found == wanted.allocations.end() ? nullptr : &*found;
 }
 
+/// More memory than was asked for is counted when the task really uses it.
+amounts amountsOf(const ledger_entry& held)
+{
+    return { held.share.accelerators, held.share.processors, std::max(held.share.memoryGb, held.usedMemoryGb) };
+}
+
 bool mayBeEvicted(const ledger_entry& held)
 {
     return held.phase == task_phase::Evicting || (!held.attempt.guaranteed && !held.attempt.urgent);
@@ -40,9 +39,9 @@
 
 } // namespace
 
-ledger::ledger(std::string worker, unsigned accelerators, std::size_t rememberedEnds)
+ledger::ledger(std::string worker, const amounts& capacity, std::size_t rememberedEnds)
     : m_worker(std::move(worker))
-    , m_all(firstAccelerators(accelerators))
+    , m_capacity(capacity)
     , m_rememberedEnds(rememberedEnds)
 {
 }
@@ -64,8 +63,8 @@
     const auto* share = shareOf(wanted, m_worker);
     if (share == nullptr)
         return refuse(wanted, "no allocation on this worker");
-    if ((share->accelerators & ~m_all) != 0)
-        return refuse(wanted, "accelerators that this worker does not have");
+    if (!contains(m_capacity, { share->accelerators, share->processors, share->memoryGb }))
+        return refuse(wanted, "more than this worker has");
 
     ledger_entry entry;
     entry.attempt = wanted;
@@ -96,7 +95,7 @@
     if (entry.phase != task_phase::Reserved)
         return { true, "", entry.mayHaveRun };
     if (entry.waiting)
-        return { false, "accelerators not free yet", false };
+        return { false, "evicted tasks have not ended yet", false };
     if (m_out)
         return { false, "failure domain is out", false };
 
@@ -153,7 +152,7 @@
     entry.leads = found.allocations.front().worker == m_worker;
     entry.reason = reason;
     if (!holds)
-        entry.share.accelerators = 0;
+        entry.share = { entry.share.worker, entry.share.rpc, 0, 0, 0 };
     if (!isEnd(phase) && !conflicts(entry).empty())
         return false;
 
@@ -324,16 +323,20 @@
 
 reservation_answer ledger::claim(ledger_entry wanted, bool mayEvict)
 {
-    const auto inTheWay = conflicts(wanted);
+    auto inTheWay = conflicts(wanted);
     for (const auto& id : inTheWay) {
         if (!mayEvict || !mayBeEvicted(m_entries.at(id)))
             return refuse(wanted.attempt, "accelerators are held by " + toString(id));
     }
+    if (!makeRoom(wanted, mayEvict, inTheWay))
+        return refuse(wanted.attempt, "processors or memory are held");
 
     reservation_answer answer { reservation_state::Accepted, "", highestEpoch(wanted.attempt.id.organisation), false,
         {} };
     const auto reason = "evicted for " + toString(wanted.attempt.id);
     for (const auto& id : inTheWay) {
+        if (m_entries.at(id).phase == task_phase::Evicting)
+            continue;
         if (!m_entries.at(id).mayHaveRun) {
             end(id, task_phase::Released, reason);
             continue;
@@ -342,7 +345,7 @@
         answer.evict.push_back(id);
     }
 
-    wanted.waiting = !answer.evict.empty();
+    wanted.waiting = !answer.evict.empty() || blocked(wanted);
     if (wanted.waiting)
         answer.state = reservation_state::Waiting;
     m_entries.emplace(wanted.attempt.id, std::move(wanted));
@@ -350,6 +353,34 @@
     return answer;
 }
 
+bool ledger::makeRoom(const ledger_entry& wanted, bool mayEvict, std::vector<attempt_id>& victims) const
+{
+    const auto needed = amountsOf(wanted);
+    auto left = m_capacity;
+    std::vector<const ledger_entry*> evictable;
+    for (const auto& [id, held] : m_entries) {
+        const bool leaves = mayEvict && held.phase == task_phase::Evicting;
+        if (isEnd(held.phase) || leaves || std::find(victims.begin(), victims.end(), id) != victims.end())
+            continue;
+        left = remaining(left, amountsOf(held));
+        if (mayEvict && mayBeEvicted(held))
+            evictable.push_back(&held);
+    }
+
+    // The least work is lost with those that have not started, then with those that started last.
+    std::stable_sort(evictable.begin(), evictable.end(), [](const ledger_entry* one, const ledger_entry* other) {
+        return std::pair(one->mayHaveRun, other->since) < std::pair(other->mayHaveRun, one->since);
+    });
+    for (const auto* held : evictable) {
+        if (contains(left, needed))
+            break;
+        victims.push_back(held->attempt.id);
+        const auto freed = amountsOf(*held);
+        left = { left.accelerators | freed.accelerators, left.processors + freed.processors, left.memoryGb + freed.memoryGb };
+    }
+    return contains(left, needed);
+}
+
 std::vector<attempt_id> ledger::conflicts(const ledger_entry& wanted) const
 {
     std::vector<attempt_id> found;
@@ -360,10 +391,20 @@
     return found;
 }
 
+bool ledger::blocked(const ledger_entry& wanted) const
+{
+    auto left = m_capacity;
+    for (const auto& [id, held] : m_entries) {
+        if (id != wanted.attempt.id && !isEnd(held.phase) && !held.waiting)
+            left = remaining(left, amountsOf(held));
+    }
+    return !contains(left, amountsOf(wanted));
+}
+
 void ledger::settle()
 {
     for (auto& [id, entry] : m_entries) {
-        if (!entry.waiting || !conflicts(entry).empty())
+        if (!entry.waiting || blocked(entry))
             continue;
         entry.waiting = false;
         ++m_version;
--- a/lib/liboriole/source/agent/task_manager.cpp
+++ b/lib/liboriole/source/agent/task_manager.cpp
@@ -26,14 +26,14 @@
     time_point deadline;
 };
 
-task_manager::task_manager(std::string worker, unsigned accelerators, timer_service& timers, runtime_client& runtime,
+task_manager::task_manager(std::string worker, const amounts& capacity, timer_service& timers, runtime_client& runtime,
     peer_gateway& peers, const agent_view& view)
     : m_worker(std::move(worker))
     , m_timers(timers)
     , m_runtime(runtime)
     , m_peers(peers)
     , m_view(view)
-    , m_ledger(m_worker, accelerators)
+    , m_ledger(m_worker, capacity)
     , m_alive(std::make_shared<bool>(true))
     , m_evictionGrace(view.limits().evictionGrace)
 {
--- a/tests/unit/agent/fleet.hpp
+++ b/tests/unit/agent/fleet.hpp
@@ -12,13 +12,15 @@
 
 /// @brief One agent of a test without its process.
 struct agent {
+    static constexpr amounts capacity { 0xff, 128, 512 };
+
     agent(std::string worker, timer_service& timers, mailbox& answers, network& carrier)
         : name(std::move(worker))
         , view("fd1")
         , runtime(answers, timers)
         , gateway(carrier, name)
         , net(carrier)
-        , tasks(std::make_unique<task_manager>(name, 8, timers, runtime, gateway, view))
+        , tasks(std::make_unique<task_manager>(name, capacity, timers, runtime, gateway, view))
     {
         view.onChange([this] { tasks->viewChanged(); });
         net.agents[name] = tasks.get();
@@ -28,7 +30,7 @@
     void restart(timer_service& timers)
     {
         net.agents[name] = nullptr;
-        tasks = std::make_unique<task_manager>(name, 8, timers, runtime, gateway, view);
+        tasks = std::make_unique<task_manager>(name, capacity, timers, runtime, gateway, view);
         net.agents[name] = tasks.get();
         tasks->recover();
     }
--- a/tests/unit/agent/ledger_test.cpp
+++ b/tests/unit/agent/ledger_test.cpp
@@ -9,16 +9,17 @@
 
 namespace {
 
-constexpr unsigned accelerators = 4;
+constexpr amounts capacity { 0x0f, 5, 5 };
+constexpr amounts large { 0xff, 128, 512 };
 constexpr auto ttl = 50ms;
 
-attempt makeAttempt(const std::string& job, unsigned number, accelerator_set set, bool guaranteed = false)
+attempt makeAttempt(const std::string& job, unsigned number, accelerator_set set, bool guaranteed = false, unsigned processors = 1, unsigned memoryGb = 1)
 {
     attempt made;
     made.id = { "org", job, number };
     made.epoch = 1;
     made.guaranteed = guaranteed;
-    made.allocations = { { "w", "", set, 1, 1 } };
+    made.allocations = { { "w", "", set, processors, memoryGb } };
     return made;
 }
 
@@ -28,19 +29,23 @@
 };
 
 struct ledger_system {
-    ledger subject { "w", accelerators };
+    ledger subject { "w", capacity };
     time_point now {};
 };
 
-/// @brief Never two holders of one accelerator; a reservation that waits holds nothing yet.
+/// @brief Never two holders of one accelerator, never more held than there is; a reservation that waits holds nothing yet.
 void checkHolders(const ledger& subject)
 {
     accelerator_set held = 0;
+    amounts left = capacity;
     for (const auto& [id, entry] : subject.entries()) {
         if (isEnd(entry.phase) || entry.waiting)
             continue;
         RC_ASSERT((held & entry.share.accelerators) == 0U);
         held |= entry.share.accelerators;
+        const amounts share { entry.share.accelerators, entry.share.processors, entry.share.memoryGb };
+        RC_ASSERT(contains(left, share));
+        left = remaining(left, share);
     }
 }
 
@@ -81,7 +86,7 @@
         epoch = anyEpoch(model);
         // The shape of an attempt follows from its id, as in the product.
         wanted = makeAttempt(id.job, id.number, 1ULL + (static_cast<unsigned>(id.job[0]) * 7 + id.number) % 15,
-            (static_cast<unsigned>(id.job[0]) + id.number) % 3 == 0);
+            (static_cast<unsigned>(id.job[0]) + id.number) % 3 == 0, 1 + static_cast<unsigned>(id.job[0]) % 4, 1 + (static_cast<unsigned>(id.job[0]) + id.number) % 4);
         wanted.epoch = epoch;
         evict = *rc::gen::arbitrary<bool>();
     }
@@ -201,7 +206,7 @@
 
 TEST_CASE("a reservation evicts only with the right, and waits for started tasks")
 {
-    ledger subject("w", 8);
+    ledger subject("w", large);
     const time_point now {};
     const auto borrowed = makeAttempt("borrowed", 1, 0x0f);
     REQUIRE(subject.reserve(borrowed, 1s, false, now).state == reservation_state::Accepted);
@@ -227,7 +232,7 @@
 
 TEST_CASE("a reservation waits for every task that it evicts")
 {
-    ledger subject("w", 8);
+    ledger subject("w", large);
     for (const auto& borrowed : { makeAttempt("a", 1, 0x0f), makeAttempt("b", 1, 0xf0) }) {
         subject.reserve(borrowed, 1s, false, {});
         subject.commit(borrowed.id, 1, {});
@@ -241,9 +246,57 @@
     REQUIRE_FALSE(subject.find(guaranteed.id)->waiting);
 }
 
+TEST_CASE("reservations never hold more processors or memory than the worker has")
+{
+    for (const auto& [processors, memoryGb] : { std::pair(80U, 1U), std::pair(1U, 300U) }) {
+        ledger subject("w", large);
+        REQUIRE(subject.reserve(makeAttempt("first", 1, 0x01, true, processors, memoryGb), 1s, true, {}).state == reservation_state::Accepted);
+        const auto second = makeAttempt("second", 1, 0x02, true, processors, memoryGb);
+        REQUIRE(subject.reserve(second, 1s, true, {}).state == reservation_state::Refused);
+        subject.release({ "org", "first", 1 }, 1, "", {});
+        REQUIRE(subject.reserve(second, 1s, true, {}).state == reservation_state::Accepted);
+    }
+    ledger subject("w", large);
+    REQUIRE(subject.reserve(makeAttempt("a", 1, 0, true, 129, 1), 1s, true, {}).state == reservation_state::Refused);
+}
+
+TEST_CASE("borrowed tasks that hold needed processors or memory are evicted, but no more of them than that takes")
+{
+    ledger subject("w", large);
+    for (const auto* job : { "a", "b", "c" }) {
+        const auto borrowed = makeAttempt(job, 1, 0, false, 40, 1);
+        subject.reserve(borrowed, 1s, false, {});
+        subject.commit(borrowed.id, 1, {});
+        REQUIRE(subject.allowStart(borrowed.id));
+        subject.markRunning(borrowed.id, time_point {} + std::chrono::seconds(job[0]));
+    }
+    const auto guaranteed = makeAttempt("guaranteed", 1, 0xff, true, 48, 1);
+    REQUIRE(subject.reserve(guaranteed, 1s, false, {}).state == reservation_state::Refused);
+    const auto answer = subject.reserve(guaranteed, 1s, true, {});
+    REQUIRE(answer.state == reservation_state::Waiting);
+    REQUIRE(answer.evict == std::vector { attempt_id { "org", "c", 1 } });
+    REQUIRE(subject.reserve(makeAttempt("late", 1, 0, false, 10, 1), 1s, true, {}).state == reservation_state::Refused);
+    subject.end(answer.evict.front(), task_phase::Evicted, "");
+    REQUIRE_FALSE(subject.find(guaranteed.id)->waiting);
+    REQUIRE(subject.commit(guaranteed.id, 1, {}).accepted);
+}
+
+TEST_CASE("a guaranteed task that its owner has released is waited for, not evicted")
+{
+    ledger subject("w", large);
+    const auto released = makeAttempt("released", 1, 0x0f, true);
+    subject.reserve(released, 1s, false, {});
+    subject.commit(released.id, 1, {});
+    REQUIRE(subject.allowStart(released.id));
+    subject.release(released.id, 1, "", {});
+    const auto answer = subject.reserve(makeAttempt("next", 1, 0xff, true), 1s, true, {});
+    REQUIRE(answer.state == reservation_state::Waiting);
+    REQUIRE(answer.evict.empty());
+}
+
 TEST_CASE("an expired reservation is released and stays so")
 {
-    ledger subject("w", 8);
+    ledger subject("w", large);
     const time_point now {};
     const auto job = makeAttempt("j", 1, 1);
     REQUIRE(subject.reserve(job, 1s, false, now).state == reservation_state::Accepted);
@@ -256,7 +309,7 @@
 
 TEST_CASE("remembered ends are bounded")
 {
-    ledger subject("w", 8, 2);
+    ledger subject("w", large, 2);
     for (const auto* job : { "a", "b", "c" })
         subject.release({ "org", job, 1 }, 1, "", {});
     REQUIRE(subject.reserve(makeAttempt("c", 1, 1), 1s, false, {}).state == reservation_state::Refused);
