A forwarded job ignores a bad Orioleway-Timeout-Ms

Cause: the entry that forwards a call turned the header into a number with stoul, also for jobs, whose header nobody had checked: it threw, and the caller was told 502 may-have-run although nothing had run. Test 'a job is accepted at every entry, whatever a header says that only requests have' failed before with '502 == 202'.

--- a/lib/liboriole/include/oriole/rpc/convert.hpp
+++ b/lib/liboriole/include/oriole/rpc/convert.hpp
@@ -10,6 +10,10 @@
 
 namespace oriole::rpc {
 
+/// @brief Views a body as message bytes; @p body must outlive the view.
+kj::ArrayPtr<const kj::byte> toWire(const std::string& body);
+std::string readBytes(capnp::Data::Reader data);
+
 void write(Failure::Builder target, const failure& source);
 failure read(Failure::Reader source);
 
--- a/lib/liboriole/source/entry/entry_rpc.cpp
+++ b/lib/liboriole/source/entry/entry_rpc.cpp
@@ -1,28 +1,13 @@
 #include <oriole/entry/entry_rpc.hpp>
 #include <oriole/helpers/log.hpp>
 
+#include <charconv>
 #include <utility>
 
 namespace oriole {
 
 namespace {
 
-kj::ArrayPtr<const kj::byte> bytes(const std::string& text)
-{
-    return kj::arrayPtr(text.data(), text.size()).asBytes();
-}
-
-std::string text(capnp::Data::Reader data)
-{
-    return { data.asChars().begin(), data.size() };
-}
-
-std::string header(const http_call& call, const std::string& name)
-{
-    const auto found = call.headers.find(name);
-    return found == call.headers.end() ? std::string() : found->second;
-}
-
 worker_report read(rpc::AgentReport::Reader source)
 {
     worker_report report;
@@ -117,13 +102,13 @@
             call.headers["orioleway-unrepeatable"] = "true";
         if (source.getDeadlineMs() > 0)
             call.headers["orioleway-timeout-ms"] = std::to_string(source.getDeadlineMs());
-        call.body = text(source.getBody());
+        call.body = rpc::readBytes(source.getBody());
 
         return m_handleForwarded(call).then([context](http_reply&& reply) mutable {
             auto answer = context.getResults().initAnswer();
             answer.setStatus(reply.status);
             answer.setContentType(reply.headers["Content-Type"]);
-            answer.setBody(bytes(reply.body));
+            answer.setBody(rpc::toWire(reply.body));
             const auto ran = parseVerdict(reply.headers["Orioleway-Verdict"]);
             answer.setVerdict(rpc::toWire(ran.value_or(verdict::MayHaveRun)));
             answer.setRequestId(reply.headers["Orioleway-Request-Id"]);
@@ -143,10 +128,19 @@
     reply.headers["Orioleway-Verdict"] = toString(rpc::fromWire(answer.getVerdict()));
     if (answer.getRequestId().size() > 0)
         reply.headers["Orioleway-Request-Id"] = answer.getRequestId();
-    reply.body = text(answer.getBody());
+    reply.body = rpc::readBytes(answer.getBody());
     return reply;
 }
 
+// Only requests have a timeout, and theirs was checked before; of anything else the header means nothing.
+std::uint32_t timeoutOf(const http_call& call)
+{
+    const auto text = call.header("orioleway-timeout-ms").value_or("");
+    std::uint32_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc {} && end == text.data() + text.size() ? value : 0;
+}
+
 } // namespace
 
 rpc::Entry::Client makeEntryRpc(entry_node& node, forwarded_handler handleForwarded)
@@ -165,12 +159,11 @@
     target.setMethod(call.method);
     target.setPath(call.path);
     target.setQuery(call.query);
-    target.setContentType(header(call, "content-type"));
-    target.setIdempotencyKey(header(call, "idempotency-key"));
-    target.setUnrepeatable(header(call, "orioleway-unrepeatable") == "true");
-    if (const auto timeout = header(call, "orioleway-timeout-ms"); !timeout.empty())
-        target.setDeadlineMs(static_cast<unsigned>(std::stoul(timeout)));
-    target.setBody(bytes(call.body));
+    target.setContentType(call.header("content-type").value_or(""));
+    target.setIdempotencyKey(call.header("idempotency-key").value_or(""));
+    target.setUnrepeatable(call.header("orioleway-unrepeatable") == "true");
+    target.setDeadlineMs(timeoutOf(call));
+    target.setBody(rpc::toWire(call.body));
     return request.send().then([](auto&& response) { return read(response.getAnswer()); },
         [entry, harmless](kj::Exception&&) {
             const auto reason = "the organisation's entry " + entry + " did not answer";
--- a/lib/liboriole/source/entry/rpc_agent_gateway.cpp
+++ b/lib/liboriole/source/entry/rpc_agent_gateway.cpp
@@ -7,23 +7,13 @@
 
 namespace {
 
-kj::ArrayPtr<const kj::byte> bytes(const std::string& text)
-{
-    return kj::arrayPtr(text.data(), text.size()).asBytes();
-}
-
-std::string text(capnp::Data::Reader data)
-{
-    return { data.asChars().begin(), data.size() };
-}
-
 backend_reply read(rpc::BackendReply::Reader reply)
 {
     if (reply.isFailure())
         return { reply.getId(), rpc::read(reply.getFailure()) };
     const auto answer = reply.getAnswer();
     return { reply.getId(),
-        backend_answer { answer.getStatus(), answer.getContentType(), text(answer.getBody()) } };
+        backend_answer { answer.getStatus(), answer.getContentType(), rpc::readBytes(answer.getBody()) } };
 }
 
 } // namespace
@@ -49,7 +39,7 @@
     target.setUnrepeatable(!call.repeatable);
     target.setDeadlineMs(static_cast<unsigned>(call.deadline.count()));
     target.setContentType(call.contentType);
-    target.setBody(bytes(call.body));
+    target.setBody(rpc::toWire(call.body));
     m_loop.detach("dispatch",
         request.send().then([done](auto&& response) { done(read(response.getReply())); },
             [done, id = call.id](kj::Exception&& exception) {
--- a/lib/liboriole/source/rpc/convert.cpp
+++ b/lib/liboriole/source/rpc/convert.cpp
@@ -69,6 +69,16 @@
 
 } // namespace
 
+kj::ArrayPtr<const kj::byte> toWire(const std::string& body)
+{
+    return kj::arrayPtr(body.data(), body.size()).asBytes();
+}
+
+std::string readBytes(capnp::Data::Reader data)
+{
+    return { data.asChars().begin(), data.size() };
+}
+
 void write(Failure::Builder target, const failure& source)
 {
     target.setKind(kindName(source.kind));
--- a/tests/integration/thin_path_test.cpp
+++ b/tests/integration/thin_path_test.cpp
@@ -40,3 +40,13 @@
     }
     REQUIRE(workers == std::set<std::string> { "praha-1", "praha-2" });
 }
+
+TEST_CASE("a job is accepted at every entry, whatever a header says that only requests have")
+{
+    cluster system;
+    for (const auto& entry : system.entries) {
+        const auto accepted = call(entry.http, "POST", "/v1/organisations/alpha/jobs", gangJob(1, "worker", 10).dump(),
+            { { "Orioleway-Timeout-Ms", "soon" } });
+        CHECK(accepted.status == 202);
+    }
+}
