Worker pool: completions come by a queue; pipelined requests keep their own bodies

Cause: executeSync from a pool's thread puts an event on the loop; a loop that ends between its arming and its run aborts. Threads now put completions into a queue and wake the loop by an eventfd; nothing is queued on the loop from outside, and completions are dropped after destruction, as the header always said.

Ours reads no more than Content-Length.

--- a/lib/liboriole/include/oriole/agent/backend_client.hpp
+++ b/lib/liboriole/include/oriole/agent/backend_client.hpp
@@ -25,7 +25,7 @@
 /// @brief Has a thread per slot and one for probes.
 class http_backend_client final : public backend_client {
 public:
-    http_backend_client(endpoint backend, unsigned slots);
+    http_backend_client(event_loop& loop, endpoint backend, unsigned slots);
 
     void send(const http_request& request, std::chrono::milliseconds timeout, handler done) override;
     void probe(std::chrono::milliseconds timeout, handler done) override;
--- a/lib/liboriole/include/oriole/helpers/worker_pool.hpp
+++ b/lib/liboriole/include/oriole/helpers/worker_pool.hpp
@@ -2,10 +2,10 @@
 /// @brief A bounded pool of threads for blocking calls, with results handed back to the event loop.
 #pragma once
 
-#include <kj/async.h>
-#include <kj/exception.h>
+#include <oriole/helpers/event_loop.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -14,12 +14,13 @@
 /// @brief Runs blocking work on its own threads. Belongs to the thread of the kj event loop.
 class worker_pool {
 public:
+    /// @param loop Where completions run; outlives the pool.
     /// @param threads Number of threads, so also the number of calls that block at once.
     /// @param queueLimit Work items that may wait; more are refused.
-    worker_pool(std::size_t threads, std::size_t queueLimit);
+    worker_pool(event_loop& loop, std::size_t threads, std::size_t queueLimit);
 
     /// @brief Does not wait: queued work is dropped, and running work ends without its completion being called.
-    ~worker_pool();
+    ~worker_pool() noexcept;
     worker_pool(const worker_pool&) = delete;
     worker_pool& operator=(const worker_pool&) = delete;
 
@@ -32,7 +33,13 @@
 
 private:
     struct state;
+
+    kj::Promise<void> runCompletions();
+
     std::shared_ptr<state> m_state;
+    kj::Own<kj::AsyncInputStream> m_wakeUps;
+    std::uint64_t m_wakeUpCount = 0;
+    kj::Promise<void> m_running;
 };
 
 } // namespace oriole
--- a/lib/liboriole/source/agent/backend_client.cpp
+++ b/lib/liboriole/source/agent/backend_client.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-http_backend_client::http_backend_client(endpoint backend, unsigned slots)
+http_backend_client::http_backend_client(event_loop& loop, endpoint backend, unsigned slots)
     : m_backend(std::move(backend))
-    , m_requests(slots, slots)
-    , m_probes(1, 1)
+    , m_requests(loop, slots, slots)
+    , m_probes(loop, 1, 1)
 {
 }
 
--- a/lib/liboriole/source/http/http_server.cpp
+++ b/lib/liboriole/source/http/http_server.cpp
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <optional>
 #include <thread>
@@ -47,7 +48,8 @@
     return count;
 }
 
-void checkLength(const cxxtools::http::Request& request, std::size_t largestBodyBytes)
+/// @return Bytes of the body.
+std::size_t checkLength(const cxxtools::http::Request& request, std::size_t largestBodyBytes)
 {
     if (request.hasHeader("Transfer-Encoding"))
         throw early_refusal(501, "Transfer-Encoding is not supported; send Content-Length");
@@ -58,7 +60,7 @@
     if (header == nullptr) {
         if (request.method() == "POST" || request.method() == "PUT")
             throw early_refusal(411, "Content-Length is required");
-        return;
+        return 0;
     }
 
     const std::string_view text(header);
@@ -70,6 +72,7 @@
         throw early_refusal(400, "Content-Length is not a number");
     if (length > largestBodyBytes)
         throw early_refusal(413, "body longer than " + std::to_string(largestBodyBytes) + " bytes");
+    return length;
 }
 
 http_call fromLibrary(const cxxtools::http::Request& request)
@@ -159,7 +162,25 @@
         cxxtools::net::TcpSocket& socket, std::istream& in, cxxtools::http::Request& request) override
     {
         Responder::beginRequest(socket, in, request);
-        checkLength(request, m_state.limits.largestBodyBytes);
+        m_request = &request;
+        m_bodyLeft = checkLength(request, m_state.limits.largestBodyBytes);
+    }
+
+    // The library's own takes all that has come, also what belongs to a next request.
+    std::size_t readBody(std::istream& in) override
+    {
+        std::array<char, 8192> buffer {};
+        std::size_t count = 0;
+        while (m_bodyLeft > 0 && in.rdbuf()->in_avail() > 0) {
+            const auto wanted = static_cast<std::streamsize>(std::min(buffer.size(), m_bodyLeft));
+            const auto got = in.readsome(buffer.data(), wanted);
+            if (got <= 0)
+                break;
+            m_request->body().write(buffer.data(), got);
+            m_bodyLeft -= static_cast<std::size_t>(got);
+            count += static_cast<std::size_t>(got);
+        }
+        return count;
     }
 
     void reply(std::ostream& out, cxxtools::http::Request& request, cxxtools::http::Reply& reply) override
@@ -204,6 +225,8 @@
     }
 
     State& m_state;
+    cxxtools::http::Request* m_request = nullptr;
+    std::size_t m_bodyLeft = 0;
 };
 
 template <typename State>
--- a/lib/liboriole/source/runtime/http_runtime_client.cpp
+++ b/lib/liboriole/source/runtime/http_runtime_client.cpp
@@ -136,7 +136,7 @@
 http_runtime_client::http_runtime_client(event_loop& loop, runtime_address address)
     : m_loop(loop)
     , m_address(std::move(address))
-    , m_pool(poolThreads, poolQueue)
+    , m_pool(loop, poolThreads, poolQueue)
 {
 }
 
--- a/lib/liboriole/source/store/etcd_store_client.cpp
+++ b/lib/liboriole/source/store/etcd_store_client.cpp
@@ -101,7 +101,7 @@
         , options(wanted)
         , bucket(wanted.callsPerSecond, wanted.burst, eventLoop.timers().now())
         , breaker(wanted.breaker, std::random_device {}())
-        , pool(wanted.threads, wanted.queueLimit)
+        , pool(eventLoop, wanted.threads, wanted.queueLimit)
     {
     }
 
