Proof: nobody takes a lower revision, with real processes

An entry misses a failure domain going out and a new document (store and peers frozen, agents not), agents connect to it anew three times and get its whole old state, an agent is replaced, then it meets its peers again and applies a document itself. A reader of entry 0 counts each step back of the revisions of entry 0 and of the agents.

The failure domain is out at both entries after the document that the returned entry applied.

--- a/tests/integration/configuration_test.cpp
+++ b/tests/integration/configuration_test.cpp
@@ -1,6 +1,10 @@
 #include "harness/cluster.hpp"
 
+#include <algorithm>
+#include <atomic>
 #include <future>
+#include <map>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -29,6 +33,64 @@
         document.dump(), { { "Orioleway-Author", "operator-" + std::to_string(entry) } });
 }
 
+/// @brief How many agents the entry knows at this revision or a later one.
+std::size_t workersAt(const cluster& system, std::size_t entry, unsigned revision)
+{
+    const auto told = system.get(entry, "/v1/config/in-force");
+    const auto& workers = told.body.at("workers");
+    return static_cast<std::size_t>(std::count_if(
+        workers.begin(), workers.end(), [&](const json& worker) { return worker.at("revision") >= revision; }));
+}
+
+/// @brief Reads the revisions of entry 0 and of the agents again and again and counts each step back.
+class reversion_watch {
+public:
+    explicit reversion_watch(const cluster& system)
+        : m_thread([this, &system] {
+            while (!m_stopping) {
+                look(system);
+                std::this_thread::sleep_for(5ms);
+            }
+        })
+    {
+    }
+    ~reversion_watch() { finish(); }
+
+    unsigned finish()
+    {
+        m_stopping = true;
+        if (m_thread.joinable())
+            m_thread.join();
+        return m_reversions;
+    }
+
+private:
+    void look(const cluster& system)
+    {
+        const auto rollout = system.get(0, "/v1/config/in-force").body;
+        const auto domains = system.get(0, "/v1/failure-domains").body;
+        if (!rollout.is_object() || !domains.is_object())
+            return;
+        note("entry", rollout.at("revision"));
+        for (const auto& worker : rollout.at("workers"))
+            note(worker.at("name"), worker.at("revision"));
+        note("failure domains", domains.at("revision"));
+    }
+
+    // Zero: an agent that has announced itself and not told its revision yet.
+    void note(const std::string& name, unsigned revision)
+    {
+        auto& highest = m_highest[name];
+        m_reversions += revision != 0 && revision < highest ? 1 : 0;
+        highest = std::max(highest, revision);
+    }
+
+    std::map<std::string, unsigned> m_highest;
+    unsigned m_reversions = 0;
+    std::atomic<bool> m_stopping { false };
+    std::thread m_thread;
+};
+
 } // namespace
 
 TEST_CASE("of two operators that race, one is accepted and the other sees the conflict")
@@ -146,3 +208,40 @@
     observer.join();
     REQUIRE(reversions == 0);
 }
+
+TEST_CASE("an entry that missed changes and comes back reverts nobody")
+{
+    cluster system;
+    const auto held = revisionAt(system, 0);
+    auto& stale = system.entries[1];
+    const link_state noPeers { .fault = link_fault::Freeze, .clients = { system.entries[0].process->pid() } };
+    stale.storeLink->set(link_fault::Freeze);
+    stale.rpcLink->set(noPeers);
+    system.entries[0].rpcLink->set(link_state { .fault = link_fault::Freeze, .clients = { stale.process->pid() } });
+    REQUIRE(system.setFailureDomain(0, "brno", true).status == 200);
+    REQUIRE(applyAt(system, 0, held, withWeight(system, 11)).status == 200);
+    REQUIRE(eventually([&] { return workersAt(system, 0, held + 1) == 3; }));
+
+    reversion_watch watch(system);
+    // Whoever connects anew gets the whole state of the entry that missed the change.
+    for (unsigned i = 0; i < 3; ++i) {
+        stale.rpcLink->set(link_fault::Cut);
+        REQUIRE(eventually([&] { return workersAt(system, 1, 0) == 0; }));
+        stale.rpcLink->set(noPeers);
+        REQUIRE(eventually([&] { return workersAt(system, 1, 0) == 3; }));
+        std::this_thread::sleep_for(1000ms);
+    }
+    system.agents[0].process->kill();
+    system.startAgent(0);
+    REQUIRE(eventually([&] { return workersAt(system, 0, held + 1) == 3 && workersAt(system, 1, 0) == 3; }));
+    REQUIRE(revisionAt(system, 1) == held);
+
+    system.entries[0].rpcLink->set(link_fault::None);
+    stale.rpcLink->set(link_fault::None);
+    REQUIRE(eventually([&] { return revisionAt(system, 1) == held + 1; }));
+    stale.storeLink->set(link_fault::None);
+    REQUIRE(eventually([&] { return applyAt(system, 1, held + 1, withWeight(system, 12)).status == 200; }));
+    REQUIRE(eventually([&] { return workersAt(system, 0, held + 2) == 3 && workersAt(system, 1, held + 2) == 3; }));
+    REQUIRE(system.get(1, "/v1/failure-domains").text == system.get(0, "/v1/failure-domains").text);
+    CHECK(watch.finish() == 0);
+}
