--- a/tests/harness/raw_server.cpp
+++ b/tests/harness/raw_server.cpp
@@ -1,7 +1,10 @@
 #include "harness/raw_server.hpp"
 
+#include "harness/process.hpp"
+
 #include <cstdlib>
 #include <system_error>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -24,22 +27,36 @@
     return at == std::string::npos ? 0 : std::strtoul(head.c_str() + at + name.size(), nullptr, 10);
 }
 
-std::string readRequest(int connection)
+/// @brief Takes one whole message out of what was received; what is left stays in @p unread.
+std::string readMessage(int connection, std::string& unread)
 {
     constexpr std::string_view headEnd = "\r\n\r\n";
-    std::string text;
     std::string part(readBytes, '\0');
     while (true) {
-        const auto end = text.find(headEnd);
-        if (end != std::string::npos && text.size() >= end + headEnd.size() + bodyLength(text.substr(0, end)))
-            return text;
+        if (const auto end = unread.find(headEnd); end != std::string::npos) {
+            const auto size = end + headEnd.size() + bodyLength(unread.substr(0, end));
+            if (unread.size() >= size) {
+                auto message = unread.substr(0, size);
+                unread.erase(0, size);
+                return message;
+            }
+        }
         const auto count = ::recv(connection, part.data(), part.size(), 0);
         if (count <= 0)
-            return text;
-        text.append(part, 0, static_cast<std::size_t>(count));
+            return std::exchange(unread, {});
+        unread.append(part, 0, static_cast<std::size_t>(count));
     }
 }
 
+sockaddr_in socketAddress(const endpoint& source)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(source.port);
+    ::inet_pton(AF_INET, source.ip.c_str(), &address.sin_addr);
+    return address;
+}
+
 } // namespace
 
 raw_server::raw_server(const endpoint& listen, std::function<answer(const std::string&)> respond)
@@ -48,10 +65,7 @@
 {
     const int on = 1;
     ::setsockopt(m_listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(listen.port);
-    ::inet_pton(AF_INET, listen.ip.c_str(), &address.sin_addr);
+    const auto address = socketAddress(listen);
     if (::bind(m_listener, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0
         || ::listen(m_listener, backlog) != 0)
         throw std::system_error(errno, std::generic_category(), "raw server at " + toString(listen));
@@ -78,7 +92,8 @@
             continue;
         const timeval limit { 1, 0 };
         ::setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-        const auto reply = m_respond(readRequest(connection));
+        std::string unread;
+        const auto reply = m_respond(readMessage(connection, unread));
         ::send(connection, reply.bytes.data(), reply.bytes.size(), MSG_NOSIGNAL);
         if (reply.keepOpen)
             m_open.push_back(connection);
@@ -87,4 +102,28 @@
     }
 }
 
+raw_caller::raw_caller(const endpoint& peer)
+    : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    const timeval limit { std::chrono::duration_cast<std::chrono::seconds>(generousBound).count(), 0 };
+    ::setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    const auto address = socketAddress(peer);
+    m_connected = ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+}
+
+raw_caller::~raw_caller()
+{
+    ::close(m_socket);
+}
+
+void raw_caller::send(const std::string& bytes) const
+{
+    ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+std::string raw_caller::receive()
+{
+    return readMessage(m_socket, m_unread);
+}
+
 } // namespace oriole::harness
--- a/tests/harness/raw_server.hpp
+++ b/tests/harness/raw_server.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// @brief A peer that answers HTTP requests with bytes of the test's choice, valid or not.
+/// @brief Peers that send HTTP messages as bytes of the test's choice, valid or not.
 #pragma once
 
 #include <oriole/http/http_client.hpp>
@@ -36,4 +36,25 @@
     std::thread m_thread;
 };
 
+/// @brief One connection on which a test writes requests and reads replies, several at once if it likes.
+class raw_caller {
+public:
+    explicit raw_caller(const endpoint& peer);
+    ~raw_caller();
+    raw_caller(const raw_caller&) = delete;
+    raw_caller& operator=(const raw_caller&) = delete;
+
+    [[nodiscard]] bool connected() const { return m_connected; }
+    void send(const std::string& bytes) const;
+
+    /// @brief Waits for the next whole reply.
+    /// @return What there was of it when the connection ended first, mostly nothing.
+    std::string receive();
+
+private:
+    int m_socket = -1;
+    bool m_connected = false;
+    std::string m_unread;
+};
+
 } // namespace oriole::harness
--- a/tests/integration/whole_answer_test.cpp
+++ b/tests/integration/whole_answer_test.cpp
@@ -28,6 +28,48 @@
     link = std::make_unique<fault_proxy>(listen, address);
 }
 
+std::string rawRequest(const std::string& key, unsigned workMs, const std::string& organisation = "alpha")
+{
+    const auto body = json { { "key", key }, { "work_ms", workMs } }.dump();
+    return "POST /v1/organisations/" + organisation
+        + "/requests/column HTTP/1.1\r\nHost: entry\r\nContent-Type: application/json\r\nContent-Length: "
+        + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// @brief Pairs of requests, each written at once on one connection, and what came back.
+struct pipelined_pairs {
+    unsigned answered = 0; ///< Both replies came, each with its own key.
+    unsigned wrong = 0; ///< A reply with another key, or out of order.
+    unsigned cutOff = 0; ///< No whole reply, but it ran.
+    unsigned falseNotRun = 0;
+
+    void send(const cluster& system, raw_caller& caller, const std::string& name)
+    {
+        const std::vector<std::string> keys { name + "-first", name + "-second" };
+        // The second is quicker than the first.
+        caller.send(rawRequest(keys[0], 60) + rawRequest(keys[1], 1, "beta"));
+        unsigned good = 0;
+        for (const auto& key : keys) {
+            const auto reply = caller.receive();
+            const bool own = reply.find("\"key\":\"" + key + "\"") != std::string::npos;
+            const bool completed = reply.starts_with("HTTP/1.1 200");
+            good += completed && own ? 1 : 0;
+            wrong += completed && !own ? 1 : 0;
+            cutOff += reply.empty() && system.executions(key) > 0 ? 1 : 0;
+            const bool notRun = reply.find("\"not-run\"") != std::string::npos;
+            falseNotRun += notRun && system.executions(key) > 0 ? 1 : 0;
+        }
+        answered += good == keys.size() ? 1 : 0;
+    }
+
+    void check() const
+    {
+        CHECK(wrong == 0);
+        CHECK(cutOff == 0);
+        CHECK(falseNotRun == 0);
+    }
+};
+
 } // namespace
 
 TEST_CASE("every caller gets the whole answer to its own request over slow and torn links")
@@ -134,3 +176,15 @@
         REQUIRE(next.body.value("key", "") == key);
     }
 }
+
+TEST_CASE("two requests sent at once on one connection get their own answers in order")
+{
+    cluster system;
+    pipelined_pairs pairs;
+    raw_caller caller(system.entries[0].http);
+    REQUIRE(caller.connected());
+    for (unsigned i = 0; i < 20; ++i)
+        pairs.send(system, caller, "pair-" + std::to_string(i));
+    CHECK(pairs.answered == 20);
+    pairs.check();
+}
