Proof: verdicts while an agent is cut off from one of two entries

One region, so that both entries use all agents; each fault strikes one agent's connections to one entry.

Seen failing (trial on a busy machine) with a broken exchange and a silent worker both counted as not-run: REQUIRE( settle(system, load).doubled == 0 ) with expansion: 4 == 0 With the broken exchange alone counted so it passed: the entry notices the lost worker first. A first form with three regions failed for its own reason: an entry chooses its own region's agent, so the other entry sent that agent nothing.

--- a/tests/integration/verdict_test.cpp
+++ b/tests/integration/verdict_test.cpp
@@ -75,6 +75,26 @@
     settle(system, load);
 }
 
+TEST_CASE("verdicts are true while an agent is cut off from one of two entries")
+{
+    // One region, so that both entries choose among all agents.
+    cluster system({ .entries = 2, .workersPerDomain = { 3 } });
+    request_load load(system, { .callers = 8, .body = { { "work_ms", 5 } }, .headers = unrepeatable });
+    for (const auto fault : { link_fault::Cut, link_fault::LoseReply, link_fault::Freeze, link_fault::Drop }) {
+        for (std::size_t i = 0; i < system.agents.size(); ++i) {
+            auto& link = *system.entries[i % 2].rpcLink;
+            link.set(link_state { .fault = fault, .clients = { system.agents[i].process->pid() } });
+            answerMore(load, 40);
+            // Long enough for the entry to miss heartbeats, while the other one goes on with the agent.
+            const auto before = system.executionsAt(i);
+            REQUIRE(eventually([&] { return system.executionsAt(i) > before + 10; }));
+            link.set(link_fault::None);
+            answerMore(load, 40);
+        }
+    }
+    REQUIRE(settle(system, load).doubled == 0);
+}
+
 TEST_CASE("requests to a full system are refused without having run")
 {
     cluster system({ .entries = 1, .workersPerDomain = { 1 } });
