core_measure: tells apart job sizes and what gangs wait for

Gangs of 16 wait longer than under first-fit, and nothing said why. The comparison now prints, by size of job, completion, wait, starts by rule, refusals, evictions, and the seconds waited by reason as the ledger sees it; and the least wait weighted by work that any order of starts could give.

So not back-off, refusals, evictions or scattered room: smaller jobs fill what ends.

--- a/measure/core_measure.cpp
+++ b/measure/core_measure.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <chrono>
 #include <cmath>
 #include <cstdio>
@@ -215,12 +216,38 @@
     bool cancelled = false;
 };
 
-struct outcome_of_job {
-    double completion = 0;
-    double wait = 0;
-    unsigned accelerators = 0;
-    bool started = false;
-    bool guaranteed = false;
+/// Classes of jobs whose figures are told apart.
+enum class size_class {
+    Small,
+    GangOf8,
+    GangOf16,
+};
+
+constexpr std::array<const char*, 3> classNames { "small", "of 8", "of 16" };
+
+size_class classOf(unsigned accelerators)
+{
+    if (accelerators < 8)
+        return size_class::Small;
+    return accelerators < 16 ? size_class::GangOf8 : size_class::GangOf16;
+}
+
+/// What a job waited for, told from the ledger and not from what an entry believes.
+enum class wait_reason {
+    PlaceFree, ///< A place was free: back-off, a stale view, or a place kept for others.
+    Scattered, ///< Enough was free in the fleet, but nowhere close enough together.
+    Overtaken, ///< Enough was held by borrowed work of smaller jobs that started after its arrival.
+    Full, ///< Anything else.
+};
+
+struct class_result {
+    std::vector<double> completion;
+    std::vector<double> wait;
+    std::vector<double> length;
+    std::array<double, 4> waited {}; ///< Seconds by @c wait_reason.
+    std::map<std::string, unsigned> starts; ///< By rule.
+    unsigned refusals = 0;
+    unsigned evictions = 0;
 };
 
 constexpr std::array<unsigned, 3> memoryPerAccelerator { 4, 16, 48 }; ///< GB, of small jobs.
@@ -282,9 +309,7 @@
 
 struct run_result {
     std::vector<double> completion;
-    std::vector<double> completionGuaranteed;
-    std::vector<double> waitOf8;
-    std::vector<double> waitOf16;
+    std::array<class_result, 3> classes;
     std::vector<double> reclaim; ///< Start of guaranteed jobs since their acceptance, those that evicted.
     double startableShare = 0;
     double reclaimableShare = 0;
@@ -292,6 +317,8 @@
     double workBack = 0; ///< Work done in the 20 s after its return, of the capacity.
     double used = 0; ///< Useful work of the capacity until the last arrival.
     unsigned evictions = 0;
+    double weightedWait = 0; ///< Seconds beyond the run time, times accelerator-seconds.
+    double weight = 0;
     unsigned refusals = 0;
     unsigned unfinished = 0;
 };
@@ -313,7 +340,10 @@
         tell(organisations_changed { fourOrganisations() });
         m_load = makeLoad(options, 88);
         m_fleet.lengthOf = [this](const attempt& what) { return m_left.at(what.id.job); };
-        m_fleet.onEvicted = [this](const attempt& what, milliseconds ran) { m_left[what.id.job] = std::max(milliseconds(1), m_left[what.id.job] - ran); };
+        m_fleet.onEvicted = [this](const attempt& what, milliseconds ran) {
+            m_left[what.id.job] = std::max(milliseconds(1), m_left[what.id.job] - ran);
+            ++classFor(what.id.job).evictions;
+        };
     }
 
     run_result run()
@@ -371,7 +401,7 @@
             const auto& job = m_load[m_next];
             m_left[job.spec.id] = job.length;
             m_arrived[job.spec.id] = m_now;
-            m_shape[job.spec.id] = job.spec.shape;
+            m_jobs[job.spec.id] = &job;
             ++m_open;
             m_cores[ownerOf(job.spec.organisation)]->apply(job_added { job.spec }, m_now);
         }
@@ -401,8 +431,15 @@
             tell(m_fleet.reportOf(name, m_now));
     }
 
+    class_result& classFor(const std::string& job)
+    {
+        return m_result.classes[static_cast<std::size_t>(classOf(m_jobs.at(job)->spec.shape.accelerators))];
+    }
+
     void noteEvent(const event& what)
     {
+        if (const auto* ended = std::get_if<attempt_ended>(&what); ended && ended->outcome == attempt_outcome::Refused)
+            ++classFor(ended->id.job).refusals;
         const auto* running = std::get_if<attempt_running>(&what);
         if (!running)
             return;
@@ -411,10 +448,7 @@
             return;
         m_started.insert(job);
         const auto wait = seconds_f(m_now - m_arrived.at(job)).count();
-        if (m_shape.at(job).accelerators == 8)
-            m_result.waitOf8.push_back(wait);
-        if (m_shape.at(job).accelerators == 16)
-            m_result.waitOf16.push_back(wait);
+        classFor(job).wait.push_back(wait);
         if (m_reclaiming.contains(job))
             m_result.reclaim.push_back(seconds_f(m_now - m_reclaiming.at(job)).count());
     }
@@ -424,6 +458,7 @@
         if (const auto* started = std::get_if<start_attempt>(&what)) {
             if (started->attempt.guaranteed && started->evictBorrowed)
                 m_reclaiming.try_emplace(started->attempt.id.job, m_now);
+            ++classFor(started->attempt.id.job).starts[started->reason.rule];
             m_fleet.reserve(which, *started, m_now);
         } else if (const auto* evicted = std::get_if<evict_attempt>(&what))
             m_fleet.evict(evicted->id, m_now);
@@ -431,8 +466,57 @@
             m_fleet.stop(stopped->id, m_now);
         else if (const auto* finished = std::get_if<finish_job>(&what)) {
             --m_open;
+            m_ended.insert(finished->job);
             if (finished->outcome == job_outcome::Finished)
-                m_result.completion.push_back(seconds_f(m_now - m_arrived.at(finished->job)).count());
+                noteCompletion(finished->job);
+        }
+    }
+
+    void noteCompletion(const std::string& job)
+    {
+        const auto taken = seconds_f(m_now - m_arrived.at(job)).count();
+        m_result.completion.push_back(taken);
+        classFor(job).completion.push_back(taken);
+        const auto length = seconds_f(m_jobs.at(job)->length).count();
+        classFor(job).length.push_back(length);
+        const auto work = m_jobs.at(job)->cancelled ? 0 : length * m_jobs.at(job)->spec.shape.accelerators;
+        m_result.weightedWait += work * (taken - length);
+        m_result.weight += work;
+    }
+
+    /// Accelerators of borrowed attempts of smaller jobs that started after the arrival of this one.
+    unsigned overtakenBy(const planned_job& job) const
+    {
+        unsigned sum = 0;
+        for (const auto& [id, gang] : m_fleet.gangs) {
+            const auto size = m_jobs.at(id.job)->spec.shape.accelerators;
+            const bool fixed = gang.what.guaranteed || gang.what.urgent;
+            sum += !fixed && size < job.spec.shape.accelerators && gang.since > m_arrived.at(job.spec.id) ? size : 0;
+        }
+        return sum;
+    }
+
+    wait_reason reasonOf(const scheduler_tables& truth, const planned_job& job) const
+    {
+        const auto room = freeRoom(truth);
+        if (findPlace(truth, room, job.spec.shape, [](const room_at&, accelerator_set) { return 0.0; }))
+            return wait_reason::PlaceFree;
+        unsigned total = 0;
+        for (const auto& one : room)
+            total += static_cast<unsigned>(std::popcount(one.room.accelerators));
+        if (total >= job.spec.shape.accelerators)
+            return wait_reason::Scattered;
+        return overtakenBy(job) >= job.spec.shape.accelerators ? wait_reason::Overtaken : wait_reason::Full;
+    }
+
+    void noteWaiting(const scheduler_tables& truth, double seconds)
+    {
+        std::set<std::string> held;
+        for (const auto& [id, gang] : m_fleet.gangs)
+            held.insert(id.job);
+        for (const auto& [id, job] : m_jobs) {
+            if (!held.contains(id) && !m_ended.contains(id))
+                classFor(id).waited[static_cast<std::size_t>(reasonOf(truth, *job))] += seconds;
         }
     }
 
@@ -469,6 +553,7 @@
         for (const auto& domain : m_fleet.domainsOut)
             takeIn(truth, failure_domain_changed { domain, true }, m_now);
         truth.rankFleet();
+        noteWaiting(truth, 0.5);
         m_samples += 1;
         m_startable += planGuarantees(truth, freeRoom(truth), m_now).uncovered.empty() ? 1 : 0;
         m_reclaimable += planGuarantees(truth, reclaimableRoom(truth), m_now).uncovered.empty() ? 1 : 0;
@@ -482,7 +567,8 @@
     unsigned m_open = 0;
     std::map<std::string, milliseconds> m_left;
     std::map<std::string, time_point> m_arrived;
-    std::map<std::string, shape> m_shape;
+    std::map<std::string, const planned_job*> m_jobs; ///< Those that have arrived.
+    std::set<std::string> m_ended;
     std::map<std::string, time_point> m_reclaiming;
     std::set<std::string> m_started;
     run_result m_result;
@@ -495,11 +581,81 @@
     time_point m_now {};
 };
 
+/// Work not yet done over time, as if all accelerators could share it evenly.
+class even_fleet {
+public:
+    void add(double when, double work)
+    {
+        drain(when);
+        m_backlog += work;
+    }
+
+    /// Work-seconds that had to wait or ran until @p when.
+    double areaUntil(double when)
+    {
+        drain(when);
+        return m_area;
+    }
+
+private:
+    static constexpr double capacity = 88;
+
+    void drain(double when)
+    {
+        const auto passed = when - m_last;
+        const auto busy = std::min(passed, m_backlog / capacity);
+        m_area += m_backlog * busy - capacity * busy * busy / 2;
+        m_backlog = std::max(0.0, m_backlog - capacity * passed);
+        m_last = when;
+    }
+
+    double m_backlog = 0;
+    double m_area = 0;
+    double m_last = 0;
+};
+
+/// Least mean wait, weighted by accelerator-seconds, that any order of starts could give; below 0 when little queues.
+double leastWeightedWait(load_options options, unsigned seeds)
+{
+    double least = 0;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        options.seed = seed;
+        even_fleet fleet;
+        double work = 0;
+        double running = 0;
+        for (const auto& job : makeLoad(options, 88)) {
+            if (job.cancelled)
+                continue;
+            const auto length = seconds_f(job.length).count();
+            const auto size = job.spec.shape.accelerators * length;
+            fleet.add(seconds_f(job.arrives).count(), size);
+            work += size;
+            running += size * length / 2;
+        }
+        constexpr double longAfter = 1e6;
+        least += (fleet.areaUntil(longAfter) - running) / work / seeds;
+    }
+    return least;
+}
+
 void append(std::vector<double>& all, const std::vector<double>& some)
 {
     all.insert(all.end(), some.begin(), some.end());
 }
 
+void append(class_result& all, const class_result& some)
+{
+    append(all.completion, some.completion);
+    append(all.wait, some.wait);
+    append(all.length, some.length);
+    for (std::size_t index = 0; index < some.waited.size(); ++index)
+        all.waited[index] += some.waited[index];
+    for (const auto& [rule, count] : some.starts)
+        all.starts[rule] += count;
+    all.refusals += some.refusals;
+    all.evictions += some.evictions;
+}
+
 run_result runSeeds(policy chosen, load_options options, unsigned seeds)
 {
     run_result total;
@@ -507,8 +663,8 @@
         options.seed = seed;
         const auto one = comparison(chosen, options).run();
         append(total.completion, one.completion);
-        append(total.waitOf8, one.waitOf8);
-        append(total.waitOf16, one.waitOf16);
+        for (std::size_t index = 0; index < one.classes.size(); ++index)
+            append(total.classes[index], one.classes[index]);
         append(total.reclaim, one.reclaim);
         total.startableShare += one.startableShare / seeds;
         total.reclaimableShare += one.reclaimableShare / seeds;
@@ -517,27 +673,49 @@
         total.used += one.used / seeds;
         total.evictions += one.evictions;
         total.refusals += one.refusals;
+        total.weightedWait += one.weightedWait;
+        total.weight += one.weight;
         total.unfinished += one.unfinished;
     }
     return total;
 }
 
+void printClasses(const run_result& base, const run_result& own)
+{
+    for (std::size_t index = 0; index < own.classes.size(); ++index) {
+        for (const auto* result : { &base, &own }) {
+            const auto& one = result->classes[index];
+            const auto mean = meanOf(one.completion);
+            std::printf("   %-5s %-9s n %4zu run %5.2f | compl. %6.2f %7.2f %5.2fx | wait %6.2f %7.2f | waited s: free %5.0f scattered %5.0f overtaken %5.0f full %5.0f | refused %4u evicted %4u |",
+                classNames[index], result == &base ? "first-fit" : "guarantee", one.completion.size(), meanOf(one.length), mean, quantileOf(one.completion, 0.99),
+                mean / meanOf(base.classes[index].completion), meanOf(one.wait), quantileOf(one.wait, 0.99), one.waited[0], one.waited[1], one.waited[2], one.waited[3], one.refusals, one.evictions);
+            for (const auto& [rule, count] : one.starts)
+                std::printf(" %s %u", rule.c_str(), count);
+            std::puts("");
+        }
+    }
+}
+
 void print(const char* label, const run_result& result)
 {
+    const auto& waitOf8 = result.classes[static_cast<std::size_t>(size_class::GangOf8)].wait;
+    const auto& waitOf16 = result.classes[static_cast<std::size_t>(size_class::GangOf16)].wait;
     std::printf("%-28s %6.2f %7.2f | %6.2f %7.2f | %6.2f %7.2f | %6.3f %6.3f | %5.2f | %5.3f %5.3f %5.3f | %6u %6u %4u\n", label, meanOf(result.completion), quantileOf(result.completion, 0.99),
-        meanOf(result.waitOf8), quantileOf(result.waitOf8, 0.99), meanOf(result.waitOf16), quantileOf(result.waitOf16, 0.99), result.startableShare, result.reclaimableShare,
+        meanOf(waitOf8), quantileOf(waitOf8, 0.99), meanOf(waitOf16), quantileOf(waitOf16, 0.99), result.startableShare, result.reclaimableShare,
         quantileOf(result.reclaim, 0.99), result.used, result.workOut, result.workBack, result.evictions, result.refusals, result.unfinished);
 }
 
-void measurePolicies(unsigned seeds, const std::vector<double>& loads)
+void measurePolicies(unsigned seeds, const std::vector<double>& loads, const std::vector<unsigned>& memories, bool withOutage)
 {
     std::printf("Seconds of scaled time, %u seeds, 3 entries, 88 accelerators; 'free' and 'recl.': share of time in which all unused guarantees could start at once "
                 "without and with eviction;\n'out'/'back': accelerators at work while a domain is out, and in the 20 s after, against those that are in.\n",
         seeds);
     std::puts("run                          compl.    p99 | wait8     p99 | wait16    p99 |  free  recl. | recl99|  used   out  back |  evict refuse open");
-    for (const auto memory : { 512U, 256U }) {
+    for (const auto memory : memories) {
         for (const auto offered : loads) {
             for (const bool out : { false, true }) {
+                if (out && !withOutage)
+                    continue;
                 const load_options options { 1, out, memory, offered };
                 char label[64];
                 std::snprintf(label, sizeof(label), "%s %.1f%s", memory == 512 ? "Sloupek" : "Trust", offered, out ? " domain out" : "");
@@ -546,6 +724,9 @@
                 print((std::string(label) + " first-fit").c_str(), base);
                 print((std::string(label) + " guarantee").c_str(), own);
                 std::printf("   mean completion %.2fx, p99 %.2fx of the baseline\n", meanOf(own.completion) / meanOf(base.completion), quantileOf(own.completion, 0.99) / quantileOf(base.completion, 0.99));
+                std::printf("   wait weighted by work: first-fit %.2f, guarantee %.2f, no order gives less than %.2f\n", base.weightedWait / base.weight, own.weightedWait / own.weight, leastWeightedWait(options, seeds));
+                printClasses(base, own);
+                std::fflush(stdout);
             }
         }
     }
@@ -562,6 +743,10 @@
     bool timesOnly = false;
     bool policiesOnly = false;
     app.add_option("--seeds", seeds, "Seeds per comparison");
+    std::vector<unsigned> memories { 512, 256 };
+    app.add_option("--memory", memories, "GB per worker, one user's size each");
+    bool noOutage = false;
+    app.add_flag("--no-outage", noOutage, "Leaves out the runs with a failure domain out");
     app.add_flag("--times", timesOnly, "Decision time and memory only");
     app.add_flag("--policies", policiesOnly, "Comparison of policies only");
     CLI11_PARSE(app, argc, argv);
@@ -569,6 +754,6 @@
     if (!policiesOnly)
         measureTimes();
     if (!timesOnly)
-        measurePolicies(seeds, loads);
+        measurePolicies(seeds, loads, memories, !noOutage);
     return 0;
 }
