Gangs larger than a worker evict smaller borrowed work sooner

Cause: gangs of 16 wait because smaller borrowed jobs take what ends piecemeal; collections do not change that, and the starved rule came after 20 expected runs, 30 s at least. A gang with more accelerators than any worker now evicts smaller borrowed work after 10 expected runs and 1 s; other gangs only after 100 (30 s at least). Work that is not repeatable is spared by this rule now that it acts more often.

--- a/lib/liboriole/source/core/gang_collection.cpp
+++ b/lib/liboriole/source/core/gang_collection.cpp
@@ -17,8 +17,10 @@
 constexpr milliseconds longestPatience { 600000 };
 constexpr milliseconds overdue { 100 };
 constexpr milliseconds collectionSlack { 2000 };
-constexpr unsigned starvedRuns = 20;
+constexpr unsigned starvedRuns = 100;
 constexpr milliseconds shortestStarved { 30000 };
+constexpr unsigned starvedRunsWide = 10; // Gangs larger than a worker: room that ends piecemeal goes to smaller jobs.
+constexpr milliseconds shortestStarvedWide { 1000 };
 
 milliseconds waitedBy(const decision_round& round, const job_row& job)
 {
@@ -30,8 +32,18 @@
     return waitedBy(round, job) >= std::clamp(round.estimateOf(job) / 2, shortestPatience, longestPatience);
 }
 
-bool starved(const decision_round& round, const job_row& job)
+unsigned largestWorker(const scheduler_tables& tables)
 {
+    unsigned largest = 0;
+    for (const auto& worker : tables.workers)
+        largest = std::max(largest, worker.present ? worker.info.accelerators : 0);
+    return largest;
+}
+
+bool starved(const decision_round& round, const job_row& job, unsigned largest)
+{
+    if (job.spec.shape.accelerators > largest)
+        return waitedBy(round, job) >= std::max(shortestStarvedWide, starvedRunsWide * round.estimateOf(job));
     return waitedBy(round, job) >= std::max(shortestStarved, starvedRuns * round.estimateOf(job));
 }
 
@@ -100,7 +112,7 @@
     round.tables.collections.push_back({ { job.spec.organisation, job.spec.id }, *found, readyAt });
 }
 
-/// What is free or held by borrowed gangs smaller than the job, so that two starved jobs never evict each other.
+/// What is free or held by borrowed repeatable gangs smaller than the job, so that two starved jobs never evict each other.
 fleet_room roomOfSmaller(const decision_round& round, const job_row& job)
 {
     auto room = reclaimableRoom(round.tables);
@@ -108,7 +120,8 @@
         if (round.avoids(job, one.worker))
             one.room = {};
         for (const auto& what : round.tables.workers[one.worker].holdings) {
-            if (!isFixed(*what.attempt) && what.attempt->accelerators >= job.spec.shape.accelerators)
+            const bool spared = !what.attempt->repeatable || what.attempt->accelerators >= job.spec.shape.accelerators;
+            if (!isFixed(*what.attempt) && spared)
                 one.room = remaining(one.room, { what.accelerators, what.processors, what.memoryGb });
         }
     }
@@ -143,9 +156,10 @@
 
 void startStarved(decision_round& round)
 {
+    const auto largest = largestWorker(round.tables);
     for (const auto& one : std::vector<collection>(round.tables.collections)) {
         auto* job = round.tables.findJob(one.job.first, one.job.second);
-        if (!job || job->state != job_state::Waiting || !round.mayStart(*job) || !starved(round, *job))
+        if (!job || job->state != job_state::Waiting || !round.mayStart(*job) || !starved(round, *job, largest))
             continue;
         round.countSearch();
         const auto found = findPlace(round.tables, roomOfSmaller(round, *job), job->spec.shape, [&](const room_at& from, accelerator_set taken) { return evictionCost(round.tables, from.worker, taken, round.now); });
