--- a/lib/liboriole/source/core/gang_collection.cpp
+++ b/lib/liboriole/source/core/gang_collection.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds collectionSlack { 2000 };
 constexpr unsigned starvedRuns = 100;
 constexpr milliseconds shortestStarved { 30000 };
-constexpr unsigned starvedRunsWide = 10; // Gangs larger than a worker: room that ends piecemeal goes to smaller jobs.
+constexpr unsigned starvedRunsWide = 20; // Gangs larger than a worker: room that ends piecemeal goes to smaller jobs.
 constexpr milliseconds shortestStarvedWide { 1000 };
 
 milliseconds waitedBy(const decision_round& round, const job_row& job)
