--- a/lib/liboriole/include/oriole/entry/peer_table.hpp
+++ b/lib/liboriole/include/oriole/entry/peer_table.hpp
@@ -148,6 +148,9 @@
     [[nodiscard]] bool servedByPeer(const peer& known) const;
     void connect(const std::string& key);
     void connected(const std::string& key, kj::Own<rpc::connection> opened);
+    /// @brief What a state and a beat share: own run and version, and what is held of the peer.
+    template <typename Builder>
+    void writeNumbers(Builder target, const peer& known) const;
     void writeState(rpc::PeerState::Builder target, const peer& known) const;
     void takeState(peer& known, rpc::PeerState::Reader source, std::optional<time_point> heardAt);
     void takeRun(peer& known, std::uint64_t run);
--- a/lib/liboriole/source/entry/peer_table.cpp
+++ b/lib/liboriole/source/entry/peer_table.cpp
@@ -164,6 +164,17 @@
     m_own = std::move(now);
 }
 
+template <typename Builder>
+void peer_table::writeNumbers(Builder target, const peer& known) const
+{
+    target.setRun(m_run);
+    target.setVersion(m_version);
+    target.setHeardRun(known.run);
+    target.setHeardVersion(known.version);
+    target.setStamp(ownStamp());
+    target.setEcho(known.stamp);
+}
+
 void peer_table::writeState(rpc::PeerState::Builder target, const std::string& rpcAddress)
 {
     refreshOwn();
@@ -174,15 +185,10 @@
 {
     const bool leaveEntriesOut = known.acknowledged != 0 && m_entriesVersion <= known.acknowledged;
     const bool leaveOwnedOut = known.acknowledged != 0 && m_ownedVersion <= known.acknowledged;
-    target.setRun(m_run);
-    target.setVersion(m_version);
+    writeNumbers(target, known);
     target.setBase(leaveEntriesOut || leaveOwnedOut ? known.acknowledged : 0);
     target.setEntriesLeftOut(leaveEntriesOut);
     target.setOwnedLeftOut(leaveOwnedOut);
-    target.setHeardRun(known.run);
-    target.setHeardVersion(known.version);
-    target.setStamp(ownStamp());
-    target.setEcho(known.stamp);
 
     rpc::write(target.initEntry(), m_own.address);
     const auto entries = leaveEntriesOut ? std::vector<entry_address> {} : m_own.entries;
@@ -201,13 +207,7 @@
 void peer_table::writeBeat(rpc::Entry::BeatParams::Builder target, const std::string& rpcAddress)
 {
     refreshOwn();
-    const auto& known = m_peers[rpcAddress];
-    target.setRun(m_run);
-    target.setVersion(m_version);
-    target.setHeardRun(known.run);
-    target.setHeardVersion(known.version);
-    target.setStamp(ownStamp());
-    target.setEcho(known.stamp);
+    writeNumbers(target, m_peers[rpcAddress]);
 }
 
 void peer_table::answer(rpc::PeerState::Reader request, rpc::PeerState::Builder reply)
