--- a/lib/liboriole/source/http/listening_socket.cpp
+++ b/lib/liboriole/source/http/listening_socket.cpp
@@ -63,6 +63,17 @@
     }
 }
 
+/// @return True when @p apply succeeded on a listener.
+bool onListeners(const endpoint& address, const std::function<bool(int)>& apply)
+{
+    bool done = false;
+    forEachBoundTo(address, [&](int descriptor) {
+        if (listens(descriptor))
+            done = apply(descriptor) || done;
+    });
+    return done;
+}
+
 bool dropFirstPackets(int listener)
 {
     std::array<sock_filter, 5> code { {
@@ -80,20 +91,15 @@
 
 bool acceptWithoutData(const endpoint& address)
 {
-    bool set = false;
-    const int seconds = 0;
-    forEachBoundTo(address, [&](int descriptor) {
-        if (listens(descriptor))
-            set = setsockopt(descriptor, IPPROTO_TCP, TCP_DEFER_ACCEPT, &seconds, sizeof(seconds)) == 0;
+    return onListeners(address, [](int listener) {
+        const int seconds = 0;
+        return setsockopt(listener, IPPROTO_TCP, TCP_DEFER_ACCEPT, &seconds, sizeof(seconds)) == 0;
     });
-    return set;
 }
 
 bool holdNewConnections(const endpoint& address)
 {
-    bool held = false;
-    forEachBoundTo(address, [&held](int descriptor) { held = (listens(descriptor) && dropFirstPackets(descriptor)) || held; });
-    return held;
+    return onListeners(address, dropFirstPackets);
 }
 
 std::size_t openConnections(const endpoint& address)
@@ -105,9 +111,7 @@
 
 bool stopListening(const endpoint& address)
 {
-    bool stopped = false;
-    forEachBoundTo(address, [&stopped](int descriptor) { stopped = (listens(descriptor) && shutdown(descriptor, SHUT_RDWR) == 0) || stopped; });
-    return stopped;
+    return onListeners(address, [](int listener) { return shutdown(listener, SHUT_RDWR) == 0; });
 }
 
 } // namespace oriole
