--- /dev/null
+++ b/lib/libfleet/include/fleet/agent/agent_server.hpp
@@ -0,0 +1,27 @@
+/// @file
+/// @brief Offers a worker agent to the scheduler by RPC.
+#pragma once
+
+#include <fleet/agent/worker_agent.hpp>
+
+#include <oriole/helpers/event_loop.hpp>
+
+#include <memory>
+#include <string>
+
+namespace fleet {
+
+class agent_server {
+public:
+    /// @param address IP:PORT to listen on.
+    agent_server(oriole::event_loop& loop, worker_agent& agent, const std::string& address);
+    ~agent_server();
+    agent_server(const agent_server&) = delete;
+    agent_server& operator=(const agent_server&) = delete;
+
+private:
+    struct state;
+    std::unique_ptr<state> m_state;
+};
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/include/fleet/model/worker.hpp
@@ -0,0 +1,68 @@
+/// @file
+/// @brief What an agent says of its worker and of what runs there.
+#pragma once
+
+#include <fleet/model/job.hpp>
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace fleet {
+
+/// @brief One life of a worker; after a crash it runs nothing and counts anew, also under the same instance id.
+struct worker_life {
+    std::string instance;
+    std::int64_t bornUnixMs = 0;
+
+    auto operator<=>(const worker_life&) const = default;
+};
+
+struct worker_description {
+    worker_life life;
+    std::string service;
+    std::string failureDomain;
+    std::vector<std::string> labels; ///< Its kind, then its rack.
+    room capacity;
+    bool draining = false;
+    std::int64_t drainLeftMs = 0; ///< Of one that drains: the least time that is left.
+
+    auto operator<=>(const worker_description&) const = default;
+
+    [[nodiscard]] std::string rack() const { return labels.size() > 1 ? labels.back() : std::string(); }
+    [[nodiscard]] bool hasLabel(const std::string& label) const
+    {
+        return std::find(labels.begin(), labels.end(), label) != labels.end();
+    }
+};
+
+struct active_run {
+    run_id run;
+    std::string checkpoint; ///< Empty for none.
+    double percent = 0; ///< Of its work.
+    double usage = 0; ///< Rough tail latency in ms of a task that serves, else cores in use.
+
+    auto operator<=>(const active_run&) const = default;
+};
+
+struct ended_run {
+    std::uint64_t number = 0; ///< Counts the ends of one life of the worker, from 1.
+    run_id run;
+    run_end how = run_end::Lost;
+    std::string checkpoint;
+
+    auto operator<=>(const ended_run&) const = default;
+};
+
+/// @brief All that an agent knows: the worker, what runs, and the ends not yet taken note of.
+struct worker_report {
+    worker_description worker;
+    std::vector<active_run> active;
+    std::vector<ended_run> ended;
+    bool responsive = true; ///< The worker answered the last look.
+    bool gone = false; ///< It does not answer and whatever ran on it has certainly ended.
+};
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/include/fleet/records/job_codec.hpp
@@ -0,0 +1,42 @@
+/// @file
+/// @brief The product's records in the store, as JSON, and their keys.
+#pragma once
+
+#include <fleet/core/job_progress.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fleet {
+
+/// @brief Keys of all records. Each job has one of each kind, under its id.
+namespace record_keys {
+    inline const std::string jobs = "oriole/job/"; ///< What was accepted; never changed.
+    inline const std::string progress = "oriole/progress/"; ///< Written by the scheduler only.
+    inline const std::string status = "oriole/status/"; ///< Queue and state, for answers to callers.
+    inline const std::string cancels = "oriole/cancel/"; ///< Written by the entry that was asked.
+    inline const std::string members = "oriole/member/"; ///< Addresses of agents and entries.
+    inline const std::string scheduler = "oriole/scheduler"; ///< Who schedules, under a lease.
+} // namespace record_keys
+
+/// @brief Queue and state of a job.
+struct job_status {
+    std::string queue;
+    job_state state = job_state::Queued;
+
+    auto operator<=>(const job_status&) const = default;
+};
+
+std::string_view toString(job_state state);
+
+std::string encodeJob(const accepted_job& job);
+std::optional<accepted_job> decodeJob(std::string_view text);
+
+std::string encodeProgress(const job_progress& progress);
+std::optional<job_progress> decodeProgress(std::string_view text);
+
+std::string encodeStatus(const job_status& status);
+std::optional<job_status> decodeStatus(std::string_view text);
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/include/fleet/rpc/convert.hpp
@@ -0,0 +1,23 @@
+/// @file
+/// @brief Between the messages of fleet.capnp and the product's types.
+#pragma once
+
+#include <fleet/model/worker.hpp>
+
+#include <fleet.capnp.h>
+
+#include <optional>
+
+namespace fleet {
+
+void writeLife(rpc::Life::Builder out, const worker_life& life);
+worker_life readLife(rpc::Life::Reader in);
+
+void writeRun(rpc::Run::Builder out, const run_id& run);
+/// @return No value when the task's name is malformed.
+std::optional<run_id> readRun(rpc::Run::Reader in);
+
+void writeReport(rpc::Report::Builder out, const worker_report& report);
+worker_report readReport(rpc::Report::Reader in);
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/include/fleet/store/store_mirror.hpp
@@ -0,0 +1,61 @@
+/// @file
+/// @brief A copy of all records under a prefix, kept current by a watch.
+#pragma once
+
+#include <fleet/store/record_store.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace fleet {
+
+/// @brief Loads a prefix, follows its changes, and loads it again when history was lost.
+class store_mirror {
+public:
+    /// @brief Called for each changed or removed record.
+    using change_handler = std::function<void(const record_change&)>;
+    using loaded_handler = std::function<void()>;
+
+    store_mirror(record_store& store, oriole::timer_service& timers, std::string prefix);
+    ~store_mirror();
+    store_mirror(const store_mirror&) = delete;
+    store_mirror& operator=(const store_mirror&) = delete;
+
+    /// @brief Begins to load. @p loaded is called after each complete load.
+    void start(change_handler changed, loaded_handler loaded);
+
+    /// @brief Loads once and follows nothing.
+    void loadOnce(loaded_handler loaded);
+
+    /// @brief Takes a newer version of a record that another exchange brought.
+    void apply(const record& item);
+
+    [[nodiscard]] bool loaded() const { return m_loaded; }
+    [[nodiscard]] const std::map<std::string, record>& records() const { return m_records; }
+
+private:
+    void load();
+    void loadPage(std::string afterKey);
+    void finishLoad();
+    void watch();
+    void take(const record_change& change);
+    void retry(void (store_mirror::*step)());
+
+    record_store& m_store;
+    oriole::timer_service& m_timers;
+    std::string m_prefix;
+    change_handler m_changed;
+    loaded_handler m_onLoaded;
+    std::map<std::string, record> m_records;
+    std::map<std::string, record> m_loading;
+    revision_number m_revision = 0;
+    revision_number m_loadRevision = 0;
+    bool m_loaded = false;
+    bool m_follows = true;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/schema/fleet.capnp
@@ -0,0 +1,87 @@
+@0xc1a5d4e0b7f39a12;
+# Messages between the entry that schedules, agents, and entries.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("fleet::rpc");
+
+struct Life {
+  instance @0 :Text;
+  bornUnixMs @1 :Int64;
+}
+
+struct Run {
+  task @0 :Text; # JOB.OCCURRENCE.STEP.INDEX
+  attempt @1 :UInt32;
+}
+
+struct Active {
+  run @0 :Run;
+  checkpoint @1 :Text;
+  percent @2 :Float32;
+  usage @3 :Float32;
+}
+
+struct Ended {
+  run @0 :Run;
+  number @1 :UInt64;
+  how @2 :UInt8; # fleet::run_end
+  checkpoint @3 :Text;
+}
+
+struct Report {
+  life @0 :Life;
+  service @1 :Text;
+  failureDomain @2 :Text;
+  labels @3 :List(Text);
+  millicores @4 :Int64;
+  memoryMb @5 :Int64;
+  accelerators @6 :Int64;
+  draining @7 :Bool;
+  drainLeftMs @8 :Int64;
+  active @9 :List(Active);
+  ended @10 :List(Ended);
+  responsive @11 :Bool;
+  gone @12 :Bool;
+}
+
+enum StartOutcome {
+  accepted @0;
+  refused @1; # it does not run and never will
+  unknown @2; # it may run
+}
+
+enum StopOutcome {
+  absent @0; # it does not run and never will
+  ending @1; # it ran; its end will be reported
+  unanswered @2;
+}
+
+# Called by the agent, on the connection that the scheduler opened.
+interface Scheduler {
+  report @0 (report :Report) -> ();
+}
+
+interface Agent {
+  attach @0 (epoch :UInt64, scheduler :Scheduler) -> ();
+  # Takes orders of this epoch from now on, and of no lower one; reports begin.
+
+  start @1 (epoch :UInt64, life :Life, run :Run, text :Text, checkpoint :Text) -> (outcome :StartOutcome, reason :Text);
+  stop @2 (epoch :UInt64, life :Life, run :Run) -> (outcome :StopOutcome);
+
+  acknowledge @3 (epoch :UInt64, life :Life, upTo :UInt64) -> ();
+  # The ends up to this number are recorded for good.
+}
+
+struct CallerRequest {
+  method @0 :Text;
+  target @1 :Text;
+  host @2 :Text;
+  key @3 :Text;
+  body @4 :Text;
+}
+
+# Entries serve each other when the store turns one of them away.
+interface Entry {
+  relay @0 (request :CallerRequest) -> (status :UInt16, body :Text, retryAfterSeconds :UInt16);
+  announce @1 (agent :Text, address :Text) -> ();
+}
--- /dev/null
+++ b/lib/libfleet/source/agent/agent_server.cpp
@@ -0,0 +1,164 @@
+#include <fleet/agent/agent_server.hpp>
+
+#include <fleet/rpc/convert.hpp>
+
+#include <oriole/helpers/log.hpp>
+#include <oriole/helpers/promise.hpp>
+
+#include <capnp/rpc-twoparty.h>
+
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+/// @brief The scheduler's end of the connection over which it attached.
+class rpc_scheduler_link final : public scheduler_link {
+public:
+    rpc_scheduler_link(oriole::event_loop& loop, rpc::Scheduler::Client scheduler)
+        : m_loop(loop)
+        , m_scheduler(std::make_unique<rpc::Scheduler::Client>(kj::mv(scheduler)))
+    {
+    }
+
+    void report(const worker_report& report, std::function<void(bool)> answered) override
+    {
+        auto request = m_scheduler->reportRequest();
+        writeReport(request.initReport(), report);
+        auto sent = request.send().ignoreResult().then([answered] { answered(true); },
+            [answered](kj::Exception&& error) {
+                oriole::logEvent(oriole::log_level::Info, "report_failed", { { "error", error.getDescription().cStr() } });
+                answered(false);
+            });
+        m_loop.detach("report", kj::mv(sent));
+    }
+
+private:
+    oriole::event_loop& m_loop;
+    std::unique_ptr<rpc::Scheduler::Client> m_scheduler;
+};
+
+struct start_result {
+    start_outcome outcome = start_outcome::Unknown;
+    std::string reason;
+};
+
+rpc::StartOutcome toWire(start_outcome outcome)
+{
+    switch (outcome) {
+    case start_outcome::Accepted:
+        return rpc::StartOutcome::ACCEPTED;
+    case start_outcome::Refused:
+        return rpc::StartOutcome::REFUSED;
+    case start_outcome::Unknown:
+        return rpc::StartOutcome::UNKNOWN;
+    }
+    return rpc::StartOutcome::UNKNOWN;
+}
+
+rpc::StopOutcome toWire(stop_outcome outcome)
+{
+    switch (outcome) {
+    case stop_outcome::Absent:
+        return rpc::StopOutcome::ABSENT;
+    case stop_outcome::Ending:
+        return rpc::StopOutcome::ENDING;
+    case stop_outcome::Unanswered:
+        return rpc::StopOutcome::UNANSWERED;
+    }
+    return rpc::StopOutcome::UNANSWERED;
+}
+
+class agent_service final : public rpc::Agent::Server {
+public:
+    agent_service(oriole::event_loop& loop, worker_agent& agent)
+        : m_loop(loop)
+        , m_agent(agent)
+    {
+    }
+
+    kj::Promise<void> attach(AttachContext context) override
+    {
+        m_loop.syncTime();
+        const auto epoch = context.getParams().getEpoch();
+        auto link = std::make_shared<rpc_scheduler_link>(m_loop, context.getParams().getScheduler());
+        const bool taken = m_agent.attach(epoch, std::move(link));
+        oriole::logEvent(oriole::log_level::Info, "scheduler_attached", { { "epoch", epoch }, { "taken", taken } });
+        KJ_REQUIRE(taken, "lower epoch");
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> start(StartContext context) override
+    {
+        m_loop.syncTime();
+        const auto params = context.getParams();
+        auto run = readRun(params.getRun());
+        KJ_REQUIRE(run.has_value(), "malformed task name");
+        start_order order { *run, params.getText().cStr(), params.getCheckpoint().cStr() };
+        auto answer = oriole::makePromiseCallback<start_result>();
+        m_agent.start(params.getEpoch(), readLife(params.getLife()), std::move(order),
+            [run = *run, epoch = params.getEpoch(), resolve = answer.resolve](start_outcome outcome, std::string reason) {
+                oriole::logEvent(oriole::log_level::Info, "start_order",
+                    { { "task", toString(run.task) }, { "attempt", run.attempt }, { "epoch", epoch },
+                        { "outcome", static_cast<int>(outcome) }, { "reason", reason } });
+                resolve({ outcome, std::move(reason) });
+            });
+        return answer.promise.then([context](start_result result) mutable {
+            context.getResults().setOutcome(toWire(result.outcome));
+            context.getResults().setReason(result.reason);
+        });
+    }
+
+    kj::Promise<void> stop(StopContext context) override
+    {
+        m_loop.syncTime();
+        const auto params = context.getParams();
+        auto run = readRun(params.getRun());
+        KJ_REQUIRE(run.has_value(), "malformed task name");
+        auto answer = oriole::makePromiseCallback<stop_outcome>();
+        m_agent.stop(params.getEpoch(), readLife(params.getLife()), *run, answer.resolve);
+        return answer.promise.then([context, run = *run](stop_outcome outcome) mutable {
+            oriole::logEvent(oriole::log_level::Info, "stop_order",
+                { { "task", toString(run.task) }, { "attempt", run.attempt }, { "outcome", static_cast<int>(outcome) } });
+            context.getResults().setOutcome(toWire(outcome));
+        });
+    }
+
+    kj::Promise<void> acknowledge(AcknowledgeContext context) override
+    {
+        const auto params = context.getParams();
+        m_agent.acknowledge(params.getEpoch(), readLife(params.getLife()), params.getUpTo());
+        return kj::READY_NOW;
+    }
+
+private:
+    oriole::event_loop& m_loop;
+    worker_agent& m_agent;
+};
+
+} // namespace
+
+struct agent_server::state {
+    state(oriole::event_loop& loop, worker_agent& agent)
+        : server(kj::heap<agent_service>(loop, agent))
+    {
+    }
+
+    capnp::TwoPartyServer server;
+    kj::Own<kj::ConnectionReceiver> receiver;
+};
+
+agent_server::agent_server(oriole::event_loop& loop, worker_agent& agent, const std::string& address)
+    : m_state(std::make_unique<state>(loop, agent))
+{
+    auto listening = loop.io().provider->getNetwork().parseAddress(address.c_str()).then([this](kj::Own<kj::NetworkAddress> parsed) {
+        m_state->receiver = parsed->listen();
+        return m_state->server.listen(*m_state->receiver);
+    });
+    loop.detach("agent server", kj::mv(listening));
+}
+
+agent_server::~agent_server() = default;
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/source/core/job_progress.cpp
@@ -0,0 +1,111 @@
+#include <fleet/core/job_progress.hpp>
+
+#include <algorithm>
+
+namespace fleet {
+
+namespace {
+
+using step_progress = std::vector<task_progress>;
+
+bool allDone(const step_progress& step)
+{
+    return std::all_of(step.begin(), step.end(), [](const auto& task) { return task.status == task_status::Done; });
+}
+
+void finishTask(task_progress& task)
+{
+    task.status = task_status::Done;
+    task.worker.clear();
+    task.checkpoint.clear();
+}
+
+void returnTask(task_progress& task)
+{
+    task.status = task_status::Waiting;
+    task.worker.clear();
+}
+
+void finishGang(step_progress& step)
+{
+    for (auto& member : step)
+        finishTask(member);
+}
+
+} // namespace
+
+void beginOccurrence(job_progress& progress, const job_spec& spec)
+{
+    occurrence_progress occurrence;
+    for (const auto& step : spec.steps)
+        occurrence.steps.emplace_back(step.count);
+    progress.occurrences.push_back(std::move(occurrence));
+}
+
+task_progress* findTask(job_progress& progress, const task_id& task)
+{
+    if (task.occurrence >= progress.occurrences.size())
+        return nullptr;
+    auto& steps = progress.occurrences[task.occurrence].steps;
+    if (task.step >= steps.size() || task.index >= steps[task.step].size())
+        return nullptr;
+    return &steps[task.step][task.index];
+}
+
+bool isReady(const occurrence_progress& occurrence, const job_spec& spec, unsigned step)
+{
+    const auto& after = spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(),
+        [&](unsigned earlier) { return earlier < occurrence.steps.size() && allDone(occurrence.steps[earlier]); });
+}
+
+bool applyEnd(job_progress& progress, const job_spec& spec, const run_id& run, run_end how, const std::string& checkpoint,
+    unsigned maxAttempts)
+{
+    auto* task = findTask(progress, run.task);
+    if (task == nullptr || task->attempt != run.attempt)
+        return false;
+
+    auto& step = progress.occurrences[run.task.occurrence].steps[run.task.step];
+    const auto& rule = spec.steps[run.task.step];
+    if (task->status != task_status::Live)
+        return false;
+
+    auto& counted = rule.gang ? step.front() : *task;
+    if (!checkpoint.empty())
+        counted.checkpoint = checkpoint;
+    if (how == run_end::Done && rule.gang)
+        finishGang(step);
+    else if (how == run_end::Done && !rule.lasting)
+        finishTask(*task);
+    else
+        returnTask(*task);
+
+    if (how == run_end::Failed && counted.failedAttempt != run.attempt) {
+        ++counted.failures;
+        counted.failedAttempt = run.attempt;
+        if (!rule.lasting && counted.failures >= maxAttempts && !isFinal(progress.state))
+            progress.state = job_state::Failed;
+    }
+    updateState(progress, spec);
+    return true;
+}
+
+void updateState(job_progress& progress, const job_spec& spec)
+{
+    if (isFinal(progress.state))
+        return;
+    bool complete = progress.occurrences.size() == spec.occurrences();
+    for (const auto& occurrence : progress.occurrences) {
+        for (const auto& step : occurrence.steps) {
+            complete = complete && allDone(step);
+            const auto begun = [](const auto& task) { return task.attempt > 0; };
+            if (std::any_of(step.begin(), step.end(), begun))
+                progress.state = job_state::Running;
+        }
+    }
+    if (complete)
+        progress.state = job_state::Completed;
+}
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -0,0 +1,298 @@
+#include <fleet/core/scheduler_core.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+// Room that is being made is free once the stopped runs are listed: 200 ms to end them, a look and two messages.
+constexpr milliseconds reservationTime { 1500 };
+// A sound run shows progress well within this time, also when it is seven times slower than estimated.
+constexpr milliseconds stallLimit { 2500 };
+constexpr double stallPercents = 8;
+// A slow run is started elsewhere when that is this much faster.
+constexpr double moveGain = 1.6;
+constexpr double moveCostSeconds = 1;
+constexpr double slowBadness = 1;
+// A worker that drains is left when its run can't end in the time that is left, less the time of a stop.
+constexpr milliseconds leaveMargin { 900 };
+
+milliseconds remainingOf(const live_run& run)
+{
+    const double left = std::max(0.0, 100 - run.percent) / 100;
+    if (run.ratePercent > 0)
+        return milliseconds(static_cast<std::int64_t>((100 - run.percent) / run.ratePercent * 1000));
+    return milliseconds(static_cast<std::int64_t>(run.expectedMs * left));
+}
+
+unsigned tasksOf(const step_spec& step)
+{
+    return step.gang ? step.count : 1;
+}
+
+} // namespace
+
+std::vector<effect> scheduler_core::decide(time_point now, std::int64_t unixMs)
+{
+    beginDue(unixMs, now);
+    stopFinished();
+    stopBrokenGangs();
+    stopLeaving(now);
+    stopStragglers(now);
+    place(now);
+    return std::exchange(m_effects, {});
+}
+
+void scheduler_core::beginDue(std::int64_t unixMs, time_point now)
+{
+    for (auto& [id, job] : m_state.jobs) {
+        if (isFinal(job.progress.state))
+            continue;
+        const auto& spec = job.job.spec;
+        while (job.progress.occurrences.size() < spec.occurrences()) {
+            const auto next = static_cast<std::int64_t>(job.progress.occurrences.size());
+            if (spec.repeatCount > 0 && spec.firstDueUnixMs + next * spec.intervalMs > unixMs)
+                break;
+            beginOccurrence(job.progress, spec);
+            job.readySince = now;
+        }
+    }
+}
+
+void scheduler_core::stop(live_run& run, const std::string& reason)
+{
+    run.phase = run_phase::Stopping;
+    m_effects.emplace_back(stop_effect { run.id, run.worker, reason });
+}
+
+void scheduler_core::stopUnit(const unit_id& unit, const std::string& reason)
+{
+    for (auto& [id, run] : m_state.runs) {
+        if (run.phase != run_phase::Stopping && unitOf(m_state, id.task) == unit)
+            stop(run, reason);
+    }
+}
+
+void scheduler_core::stopFinished()
+{
+    for (auto& [id, run] : m_state.runs) {
+        const auto job = m_state.jobs.find(id.task.job);
+        if (run.phase == run_phase::Stopping || job == m_state.jobs.end())
+            continue;
+        const auto state = job->second.progress.state;
+        if (state == job_state::Cancelled || state == job_state::Failed)
+            stop(run, state == job_state::Failed ? "job failed" : "job cancelled");
+    }
+}
+
+void scheduler_core::stopBrokenGangs()
+{
+    for (auto& [id, run] : m_state.runs) {
+        const auto job = m_state.jobs.find(id.task.job);
+        if (run.phase == run_phase::Stopping || job == m_state.jobs.end())
+            continue;
+        const auto& step = job->second.job.spec.steps[id.task.step];
+        if (!step.gang)
+            continue;
+        const auto& members = job->second.progress.occurrences[id.task.occurrence].steps[id.task.step];
+        const auto isAway = [](const task_progress& member) { return member.status == task_status::Waiting; };
+        if (std::any_of(members.begin(), members.end(), isAway))
+            stop(run, "another member ended");
+    }
+}
+
+void scheduler_core::stopLeaving(time_point now)
+{
+    for (auto& [id, run] : m_state.runs) {
+        const auto& worker = m_state.workers[run.worker];
+        if (run.phase == run_phase::Stopping || !worker.leavesAt || !worker.reachable)
+            continue;
+        const auto left = *worker.leavesAt - now;
+        const auto job = m_state.jobs.find(id.task.job);
+        const bool saves = job != m_state.jobs.end() && job->second.job.spec.steps[id.task.step].checkpointing;
+        // Work that saves runs to the last moment; other work that can't end in time starts anew elsewhere at once.
+        if (remainingOf(run) > left && (!saves || left < leaveMargin))
+            stopUnit(unitOf(m_state, id.task), "its worker leaves");
+    }
+}
+
+void scheduler_core::stopStragglers(time_point now)
+{
+    for (auto& [id, run] : m_state.runs) {
+        const auto job = m_state.jobs.find(id.task.job);
+        if (run.phase != run_phase::Active || job == m_state.jobs.end() || !m_state.workers[run.worker].reachable)
+            continue;
+        const auto& step = job->second.job.spec.steps[id.task.step];
+        if (step.lasting)
+            continue;
+        auto patience = stallLimit + milliseconds(static_cast<std::int64_t>(run.expectedMs / 100 * stallPercents));
+        if (step.gang && run.percent <= 0)
+            patience += m_settings.gangTimeout;
+        const bool stalled = now - run.advancedAt > patience;
+        const double fresh = run.expectedMs / 1000 + moveCostSeconds;
+        const bool slow = run.ratePercent > 0 && (100 - run.percent) / run.ratePercent > fresh * moveGain;
+        if ((!stalled && !slow) || !couldMove(run, now))
+            continue;
+        auto& worker = m_state.workers[run.worker];
+        worker.badness = badnessOf(worker, now) + slowBadness;
+        worker.badnessAt = now;
+        job->second.failedOn.insert(run.worker);
+        stopUnit(unitOf(m_state, id.task), stalled ? "it stands still" : "it is slow there");
+    }
+}
+
+bool scheduler_core::couldMove(const live_run& run, time_point now) const
+{
+    const auto& job = m_state.jobs.at(run.id.task.job);
+    auto request = requestFor(job, unitOf(m_state, run.id.task), now);
+    request.avoid.insert(run.worker);
+    request.provenOnly = true;
+    request.onWorker.clear();
+    return findPlaces(m_state, request, now).has_value();
+}
+
+std::vector<pending_unit> scheduler_core::collectPending(time_point now) const
+{
+    std::vector<pending_unit> pending;
+    for (const auto& [id, job] : m_state.jobs) {
+        if (isFinal(job.progress.state))
+            continue;
+        const auto& occurrences = job.progress.occurrences;
+        for (unsigned k = 0; k < occurrences.size(); ++k) {
+            for (unsigned s = 0; s < occurrences[k].steps.size(); ++s) {
+                if (!isReady(occurrences[k], job.job.spec, s))
+                    continue;
+                const auto& tasks = occurrences[k].steps[s];
+                const auto waits = [](const task_progress& task) { return task.status == task_status::Waiting; };
+                if (job.job.spec.steps[s].gang) {
+                    if (std::all_of(tasks.begin(), tasks.end(), waits))
+                        pending.push_back(classify(m_state, job, { id, k, s, 0 }, now));
+                    continue;
+                }
+                for (unsigned i = 0; i < tasks.size(); ++i) {
+                    if (waits(tasks[i]))
+                        pending.push_back(classify(m_state, job, { id, k, s, i }, now));
+                }
+            }
+        }
+    }
+    std::sort(pending.begin(), pending.end());
+    return pending;
+}
+
+placement_request scheduler_core::requestFor(const job_row& job, const unit_id& unit, time_point now) const
+{
+    const auto& step = job.job.spec.steps[unit.step];
+    const auto rule = ruleOf(m_state, job);
+    placement_request request;
+    request.step = &step;
+    request.tasks = tasksOf(step);
+    request.service = rule.service;
+    request.organisation = job.job.organisation;
+    request.avoid = job.failedOn;
+    const auto& tasks = job.progress.occurrences[unit.occurrence].steps[unit.step];
+    for (const auto& task : tasks) {
+        if (!step.gang && task.status == task_status::Live)
+            ++request.onWorker[task.worker];
+    }
+    request.provenOnly = !step.lasting && tasks[unit.index].failures + 1 >= rule.maxAttempts;
+    // Away from its data it takes three times as long: waiting for up to one run time is better.
+    request.farAllowed = now - job.readySince > milliseconds(step.estimateMs);
+    if (const auto held = m_state.reservations.find(unit); held != m_state.reservations.end()) {
+        request.alreadyHeld = held->second.need;
+        request.heldOn = held->second.workers;
+    }
+    return request;
+}
+
+void scheduler_core::place(time_point now)
+{
+    for (auto entry = m_state.reservations.begin(); entry != m_state.reservations.end();) {
+        const auto unit = (entry++)->first;
+        if (m_state.reservations.at(unit).until <= now)
+            dropReservation(unit);
+    }
+    for (const auto& entry : collectPending(now))
+        placeUnit(entry, now);
+}
+
+bool scheduler_core::placeUnit(const pending_unit& entry, time_point now)
+{
+    const auto& job = m_state.jobs.at(entry.unit.job);
+    const auto request = requestFor(job, entry.unit, now);
+    if (const auto places = findPlaces(m_state, request, now)) {
+        dropReservation(entry.unit);
+        startUnit(job, entry.unit, *places, now);
+        return true;
+    }
+    if (entry.priority == 0 && !m_state.reservations.contains(entry.unit))
+        makeRoom(entry, request, now);
+    return false;
+}
+
+void scheduler_core::makeRoom(const pending_unit& entry, const placement_request& request, time_point now)
+{
+    const bool reclaims = isWithinGuarantee(m_state, request.organisation);
+    const auto plan = planEviction(m_state, request, entry.priority, reclaims, now);
+    if (!plan)
+        return;
+    for (const auto& victim : plan->victims)
+        stopUnit(victim, "room for urgent work");
+    const auto need = request.step->need;
+    for (const auto& worker : plan->workers)
+        m_state.workers[worker].reserved += need;
+    m_state.reservations[entry.unit] = { plan->workers, need, now + reservationTime };
+}
+
+void scheduler_core::dropReservation(const unit_id& unit)
+{
+    const auto held = m_state.reservations.find(unit);
+    if (held == m_state.reservations.end())
+        return;
+    for (const auto& worker : held->second.workers)
+        m_state.workers[worker].reserved -= held->second.need;
+    m_state.reservations.erase(held);
+}
+
+void scheduler_core::startUnit(
+    const job_row& job, const unit_id& unit, const std::vector<std::string>& workers, time_point now)
+{
+    const auto& step = job.job.spec.steps[unit.step];
+    auto& row = m_state.jobs.at(unit.job);
+    auto& tasks = row.progress.occurrences[unit.occurrence].steps[unit.step];
+    const unsigned first = step.gang ? 0 : unit.index;
+    unsigned attempt = 0;
+    for (unsigned i = first; i < first + workers.size(); ++i)
+        attempt = std::max(attempt, tasks[i].attempt + 1);
+    const auto checkpoint = tasks[first].checkpoint;
+    const double spread = spreadOf(m_state, step, workers, m_settings.spreadFactor);
+    const auto slack = slackOf(m_state, job, unit, now);
+
+    for (unsigned i = 0; i < workers.size(); ++i) {
+        auto& task = tasks[first + i];
+        auto& worker = m_state.workers.at(workers[i]);
+        task.status = task_status::Live;
+        task.attempt = attempt;
+        task.worker = workers[i];
+        task.life = worker.about.life;
+        live_run run;
+        run.id = { { unit.job, unit.occurrence, unit.step, first + i }, attempt };
+        run.worker = workers[i];
+        run.life = task.life;
+        run.need = step.need;
+        if (step.fillsIdle)
+            run.need.millicores = 0;
+        run.expectedMs = static_cast<double>(step.estimateMs) * spread;
+        run.placedAt = run.advancedAt = run.windowAt = run.checkpointAt = now;
+        worker.used += run.need;
+        m_effects.emplace_back(start_effect { run.id, run.worker, run.life, checkpoint, spread, slack });
+        m_state.runs.emplace(run.id, std::move(run));
+    }
+    updateState(row.progress, row.job.spec);
+    m_changed.insert(unit.job);
+}
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/source/entry/fleet_entry.cpp
@@ -0,0 +1,95 @@
+#include <fleet/entry/fleet_entry.hpp>
+
+#include <fleet/records/job_codec.hpp>
+
+#include <oriole/helpers/log.hpp>
+
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+const std::string agentsPrefix = record_keys::members + "agent/";
+
+std::string agentOf(const std::string& key)
+{
+    return key.substr(agentsPrefix.size());
+}
+
+} // namespace
+
+std::string agentKey(const std::string& agent)
+{
+    return agentsPrefix + agent;
+}
+
+fleet_entry::fleet_entry(environment outside, const std::string& name, scheduler_settings settings)
+    : m_outside(std::move(outside))
+    , m_settings(settings)
+    , m_leadership(m_outside.store, m_outside.loop.timers(), m_outside.clock, name,
+          { [this](std::uint64_t epoch) { won(epoch); }, [this](const std::string&) { lost(); } })
+    , m_schedulerRecord(m_outside.store, m_outside.loop.timers(), record_keys::scheduler)
+    , m_agents(m_outside.store, m_outside.loop.timers(), agentsPrefix)
+{
+}
+
+fleet_entry::~fleet_entry()
+{
+    *m_alive = false;
+}
+
+void fleet_entry::start()
+{
+    m_agents.start(
+        [this](const record_change& change) {
+            if (m_scheduler == nullptr)
+                return;
+            if (change.removed)
+                m_scheduler->forget(agentOf(change.item.key));
+            else
+                m_scheduler->announce(agentOf(change.item.key), change.item.value);
+        },
+        {});
+    m_schedulerRecord.start([this](const record_change& change) { m_leadership.recordChanged(!change.removed); }, {});
+    m_leadership.start();
+}
+
+void fleet_entry::won(std::uint64_t epoch)
+{
+    fleet_scheduler::environment outside { m_outside.loop, m_outside.store, m_outside.metrics, m_outside.clock,
+        [this] { return m_leadership.provenAt(); }, [this](time_point sentAt) { m_leadership.prove(sentAt); },
+        [this](const std::string& reason) { m_leadership.depose(reason); } };
+    m_scheduler = std::make_unique<fleet_scheduler>(std::move(outside), epoch, m_settings);
+    startScheduler();
+}
+
+void fleet_entry::startScheduler()
+{
+    const auto& view = m_outside.control.view();
+    m_scheduler->start(view.rules, view.domainsOut);
+    for (const auto& [key, item] : m_agents.records())
+        m_scheduler->announce(agentOf(key), item.value);
+}
+
+void fleet_entry::lost()
+{
+    // It may be on the stack now: it ends with the next turn of the loop.
+    std::shared_ptr<fleet_scheduler> ending = std::move(m_scheduler);
+    m_outside.loop.detach("end scheduler", kj::evalLater([ending] {}));
+}
+
+void fleet_entry::controlChanged()
+{
+    if (m_scheduler == nullptr)
+        return;
+    m_scheduler->configure(m_outside.control.view().rules);
+    m_scheduler->setDomainsOut(m_outside.control.view().domainsOut);
+}
+
+void fleet_entry::resign(std::function<void()> done)
+{
+    m_leadership.resign(std::move(done));
+}
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/source/entry/job_desk.cpp
@@ -0,0 +1,129 @@
+#include <fleet/entry/job_desk.hpp>
+
+#include <oriole/helpers/log.hpp>
+
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+intake compare(const record& stored, const accepted_job& job)
+{
+    const auto known = decodeJob(stored.value);
+    return known && known->bodyDigest == job.bodyDigest ? intake::Accepted : intake::OtherBody;
+}
+
+} // namespace
+
+job_desk::job_desk(record_store& store, oriole::timer_service& timers)
+    : m_store(store)
+    , m_status(store, timers, record_keys::status)
+{
+}
+
+void job_desk::start()
+{
+    m_status.start([this](const record_change& change) { takeStatus(change); }, {});
+}
+
+void job_desk::takeStatus(const record_change& change)
+{
+    const auto id = change.item.key.substr(record_keys::status.size());
+    if (const auto known = m_states.find(id); known != m_states.end()) {
+        if (known->second.state == job_state::Queued)
+            --m_pending[known->second.queue];
+        m_states.erase(known);
+    }
+    if (change.removed)
+        return;
+    const auto status = decodeStatus(change.item.value);
+    if (!status) {
+        oriole::logEvent(oriole::log_level::Error, "status_record_unreadable", { { "key", change.item.key } });
+        return;
+    }
+    if (status->state == job_state::Queued)
+        ++m_pending[status->queue];
+    m_states[id] = *status;
+}
+
+void job_desk::submit(accepted_job job, const record_condition& control, std::function<void(intake)> done)
+{
+    record_transaction transaction;
+    transaction.conditions = { { record_keys::jobs + job.id, 0 }, control };
+    const auto status = encodeStatus({ job.queue, job_state::Queued });
+    transaction.writes = { { record_keys::jobs + job.id, encodeJob(job) }, { record_keys::status + job.id, status } };
+    m_store.commit(std::move(transaction),
+        [this, job = std::move(job), status, done = std::move(done)](const result<commit_outcome>& outcome) {
+            if (!outcome && outcome.error().ran == oriole::verdict::NotRun)
+                return done(intake::NotAccepted);
+            if (!outcome)
+                return readBack(job, done);
+            if (outcome.value().applied) {
+                m_status.apply({ record_keys::status + job.id, status, outcome.value().revision });
+                return done(intake::Accepted);
+            }
+            for (const auto& item : outcome.value().current) {
+                if (item.key == record_keys::jobs + job.id && item.revision != 0)
+                    return done(compare(item, job));
+            }
+            done(intake::NotCurrent);
+        });
+}
+
+/// A write that was not answered may have been made; when it can't be seen, it may still be made later.
+void job_desk::readBack(const accepted_job& job, std::function<void(intake)> done)
+{
+    m_store.get(record_keys::jobs + job.id, [job, done = std::move(done)](const result<record>& found) {
+        if (found && found.value().revision != 0)
+            return done(compare(found.value(), job));
+        done(intake::MayBeAccepted);
+    });
+}
+
+void job_desk::find(const std::string& id, std::function<void(result<std::optional<job_status>>)> done)
+{
+    if (const auto known = m_states.find(id); known != m_states.end()) {
+        auto status = known->second;
+        if (!isFinal(status.state) && m_cancelled.contains(id))
+            status.state = job_state::Cancelled;
+        return done(std::optional(status));
+    }
+    m_store.get(record_keys::status + id, [done = std::move(done)](const result<record>& found) {
+        if (!found)
+            return done(found.error());
+        if (found.value().revision == 0)
+            return done(std::optional<job_status> {});
+        done(decodeStatus(found.value().value));
+    });
+}
+
+void job_desk::cancel(const std::string& id, std::function<void(result<std::optional<job_state>>)> done)
+{
+    find(id, [this, id, done = std::move(done)](const result<std::optional<job_status>>& found) {
+        if (!found)
+            return done(found.error());
+        if (!found.value())
+            return done(std::optional<job_state> {});
+        const auto status = *found.value();
+        if (isFinal(status.state))
+            return done(std::optional(status.state));
+        // Without a condition: a second cancel changes nothing.
+        record_transaction transaction;
+        transaction.writes = { { record_keys::cancels + id, "{}" } };
+        m_store.commit(std::move(transaction), [this, id, status, done](const result<commit_outcome>& outcome) {
+            if (!outcome)
+                return done(outcome.error());
+            m_cancelled.insert(id);
+            done(std::optional(job_state::Cancelled));
+        });
+    });
+}
+
+std::size_t job_desk::pending(const std::string& queue) const
+{
+    const auto entry = m_pending.find(queue);
+    return entry == m_pending.end() ? 0 : entry->second;
+}
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/source/http/http_client.cpp
@@ -0,0 +1,165 @@
+#include <fleet/http/http_client.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+
+namespace fleet {
+
+namespace {
+
+// A connection is made within two round trips of 20 ms between regions; more means that the peer is away.
+constexpr auto connectTimeout = 700 * kj::MILLISECONDS;
+// Backend servers and the store keep idle connections for 15 s; ours go first.
+constexpr auto idleTimeout = 12 * kj::SECONDS;
+// Unacknowledged bytes end a connection after this many milliseconds.
+constexpr unsigned userTimeoutMs = 4000;
+// The largest answer is a page of the store: 1 MB in base64 with its frame.
+constexpr std::uint64_t maxAnswerBytes = 4U << 20U;
+constexpr auto connectFailed = "connect failed: ";
+
+/// @brief Marks failures to connect, after which nothing can have run.
+class guarded_address final : public kj::NetworkAddress {
+public:
+    guarded_address(kj::Own<kj::NetworkAddress> inner, kj::Timer& timer)
+        : m_inner(kj::mv(inner))
+        , m_timer(timer)
+    {
+    }
+
+    kj::Promise<kj::Own<kj::AsyncIoStream>> connect() override
+    {
+        auto limit = m_timer.afterDelay(connectTimeout).then([]() -> kj::Own<kj::AsyncIoStream> {
+            kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "timeout"));
+        });
+        return m_inner->connect()
+            .exclusiveJoin(kj::mv(limit))
+            .then(
+                [](kj::Own<kj::AsyncIoStream> stream) {
+                    const unsigned limitMs = userTimeoutMs;
+                    stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs, sizeof(limitMs));
+                    return stream;
+                },
+                [](kj::Exception&& error) -> kj::Own<kj::AsyncIoStream> {
+                    auto text = kj::str(connectFailed, error.getDescription());
+                    kj::throwFatalException(kj::Exception(kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::mv(text)));
+                });
+    }
+
+    kj::Own<kj::ConnectionReceiver> listen() override { return m_inner->listen(); }
+    kj::Own<kj::NetworkAddress> clone() override { return kj::heap<guarded_address>(m_inner->clone(), m_timer); }
+    kj::String toString() override { return m_inner->toString(); }
+
+private:
+    kj::Own<kj::NetworkAddress> m_inner;
+    kj::Timer& m_timer;
+};
+
+kj::Own<kj::NetworkAddress> parseAddress(oriole::event_loop& loop, const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
+    std::uint32_t ip = 0;
+    std::size_t start = 0;
+    for (int part = 0; part < 4; ++part) {
+        ip = (ip << 8U) + static_cast<std::uint32_t>(std::stoul(address.substr(start)));
+        start = address.find('.', start) + 1;
+    }
+    target.sin_addr.s_addr = htonl(ip);
+    return loop.io().provider->getNetwork().getSockaddr(&target, sizeof(target));
+}
+
+failure describe(const kj::Exception& error)
+{
+    const std::string text = error.getDescription().cStr();
+    if (text.find(connectFailed) != std::string::npos) {
+        const bool refused = text.find("refused") != std::string::npos;
+        return notRun(refused ? failure_kind::NotFound : failure_kind::Unavailable, text);
+    }
+    return mayHaveRun(failure_kind::Broken, text);
+}
+
+} // namespace
+
+struct http_client::pool {
+    pool(oriole::event_loop& loop, const std::string& address)
+        : table(kj::HttpHeaderTable::Builder().build())
+        , peer(parseAddress(loop, address), loop.io().provider->getTimer())
+    {
+        kj::HttpClientSettings settings;
+        settings.idleTimeout = idleTimeout;
+        client = kj::newHttpClient(loop.io().provider->getTimer(), *table, peer, settings);
+    }
+
+    kj::Own<kj::HttpHeaderTable> table;
+    guarded_address peer;
+    kj::Own<kj::HttpClient> client;
+};
+
+http_client::http_client(oriole::event_loop& loop, std::string address)
+    : m_loop(loop)
+    , m_address(std::move(address))
+    , m_pool(std::make_shared<pool>(loop, m_address))
+{
+}
+
+http_client::~http_client() = default;
+
+void http_client::exchange(http_request request, handler done)
+{
+    struct exchange_state {
+        http_request request;
+        std::shared_ptr<pool> connections;
+        bool timedOut = false;
+    };
+    auto state = std::make_shared<exchange_state>(exchange_state { std::move(request), m_pool });
+    auto answer = kj::evalLater([this, state] { return send(state->connections, state->request); });
+    auto limit = m_loop.after(state->request.deadline).then([state]() -> http_response {
+        state->timedOut = true;
+        kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "deadline passed"));
+    });
+    auto finished = answer.exclusiveJoin(kj::mv(limit))
+                        .then([done, state](http_response response) { done(std::move(response)); },
+                            [this, done, state](kj::Exception&& error) {
+                                if (state->timedOut && m_pool == state->connections)
+                                    m_pool = std::make_shared<pool>(m_loop, m_address);
+                                done(state->timedOut ? mayHaveRun(failure_kind::Timeout, "deadline passed") : describe(error));
+                            });
+    m_loop.detach("http exchange", finished.attach(std::move(state)));
+}
+
+kj::Promise<http_response> http_client::send(const std::shared_ptr<pool>& connections, const http_request& request)
+{
+    kj::HttpHeaders headers(*connections->table);
+    headers.set(kj::HttpHeaderId::HOST, kj::str(m_address));
+    if (!request.body.empty())
+        headers.set(kj::HttpHeaderId::CONTENT_TYPE, "application/json");
+    for (const auto& [name, value] : request.headers)
+        headers.add(kj::StringPtr(name.c_str()), kj::StringPtr(value.c_str()));
+
+    const bool hasBody = request.method == kj::HttpMethod::POST || request.method == kj::HttpMethod::PUT;
+    const kj::Maybe<std::uint64_t> size = hasBody ? kj::Maybe<std::uint64_t>(request.body.size()) : nullptr;
+    auto call = connections->client->request(request.method, request.target.c_str(), headers, size);
+    kj::Promise<void> written = kj::READY_NOW;
+    if (hasBody && !request.body.empty())
+        written = call.body->write(request.body.data(), request.body.size()).attach(kj::mv(call.body));
+    auto response = kj::mv(call.response);
+    return written.then([response = kj::mv(response)]() mutable { return kj::mv(response); })
+        .then([](kj::HttpClient::Response answer) -> kj::Promise<http_response> {
+            const bool sized = answer.headers->get(kj::HttpHeaderId::CONTENT_LENGTH) != nullptr
+                || answer.headers->get(kj::HttpHeaderId::TRANSFER_ENCODING) != nullptr;
+            const unsigned status = answer.statusCode;
+            if (status < 200 || (!sized && status != 204))
+                return KJ_EXCEPTION(FAILED, "answer without a length, or not final");
+            auto& body = *answer.body;
+            return body.readAllText(maxAnswerBytes)
+                .then([status](kj::String text) { return http_response { status, std::string(text.begin(), text.end()) }; })
+                .attach(kj::mv(answer.body));
+        })
+        .attach(connections);
+}
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/source/rpc/convert.cpp
@@ -0,0 +1,102 @@
+#include <fleet/rpc/convert.hpp>
+
+namespace fleet {
+
+namespace {
+
+void writeWorker(rpc::Report::Builder out, const worker_description& worker)
+{
+    writeLife(out.initLife(), worker.life);
+    out.setService(worker.service);
+    out.setFailureDomain(worker.failureDomain);
+    auto labels = out.initLabels(static_cast<unsigned>(worker.labels.size()));
+    for (unsigned i = 0; i < labels.size(); ++i)
+        labels.set(i, worker.labels[i]);
+    out.setMillicores(worker.capacity.millicores);
+    out.setMemoryMb(worker.capacity.memoryMb);
+    out.setAccelerators(worker.capacity.accelerators);
+    out.setDraining(worker.draining);
+    out.setDrainLeftMs(worker.drainLeftMs);
+}
+
+worker_description readWorker(rpc::Report::Reader in)
+{
+    worker_description worker;
+    worker.life = readLife(in.getLife());
+    worker.service = in.getService().cStr();
+    worker.failureDomain = in.getFailureDomain().cStr();
+    for (const auto label : in.getLabels())
+        worker.labels.emplace_back(label.cStr());
+    worker.capacity = { in.getMillicores(), in.getMemoryMb(), in.getAccelerators() };
+    worker.draining = in.getDraining();
+    worker.drainLeftMs = in.getDrainLeftMs();
+    return worker;
+}
+
+} // namespace
+
+void writeLife(rpc::Life::Builder out, const worker_life& life)
+{
+    out.setInstance(life.instance);
+    out.setBornUnixMs(life.bornUnixMs);
+}
+
+worker_life readLife(rpc::Life::Reader in)
+{
+    return { in.getInstance().cStr(), in.getBornUnixMs() };
+}
+
+void writeRun(rpc::Run::Builder out, const run_id& run)
+{
+    out.setTask(toString(run.task));
+    out.setAttempt(run.attempt);
+}
+
+std::optional<run_id> readRun(rpc::Run::Reader in)
+{
+    auto task = parseTaskId(in.getTask().cStr());
+    if (!task)
+        return std::nullopt;
+    return run_id { std::move(*task), in.getAttempt() };
+}
+
+void writeReport(rpc::Report::Builder out, const worker_report& report)
+{
+    writeWorker(out, report.worker);
+    auto active = out.initActive(static_cast<unsigned>(report.active.size()));
+    for (unsigned i = 0; i < active.size(); ++i) {
+        writeRun(active[i].initRun(), report.active[i].run);
+        active[i].setCheckpoint(report.active[i].checkpoint);
+        active[i].setPercent(static_cast<float>(report.active[i].percent));
+        active[i].setUsage(static_cast<float>(report.active[i].usage));
+    }
+    auto ended = out.initEnded(static_cast<unsigned>(report.ended.size()));
+    for (unsigned i = 0; i < ended.size(); ++i) {
+        writeRun(ended[i].initRun(), report.ended[i].run);
+        ended[i].setNumber(report.ended[i].number);
+        ended[i].setHow(static_cast<std::uint8_t>(report.ended[i].how));
+        ended[i].setCheckpoint(report.ended[i].checkpoint);
+    }
+    out.setResponsive(report.responsive);
+    out.setGone(report.gone);
+}
+
+worker_report readReport(rpc::Report::Reader in)
+{
+    worker_report report;
+    report.worker = readWorker(in);
+    for (const auto entry : in.getActive()) {
+        if (auto run = readRun(entry.getRun()))
+            report.active.push_back({ std::move(*run), entry.getCheckpoint().cStr(), entry.getPercent(), entry.getUsage() });
+    }
+    for (const auto entry : in.getEnded()) {
+        if (auto run = readRun(entry.getRun()))
+            report.ended.push_back({ entry.getNumber(), std::move(*run), static_cast<run_end>(entry.getHow()),
+                entry.getCheckpoint().cStr() });
+    }
+    report.responsive = in.getResponsive();
+    report.gone = in.getGone();
+    return report;
+}
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -0,0 +1,355 @@
+#include <fleet/scheduler/fleet_scheduler.hpp>
+
+#include <fleet/records/job_codec.hpp>
+
+#include <oriole/helpers/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+// Time alone changes decisions slowly: slack, stragglers, due times.
+constexpr milliseconds tickPeriod { 200 };
+constexpr milliseconds stopRetry { 400 };
+// A stopped run ends within 200 ms and its end is reported at the next look.
+constexpr milliseconds endPatience { 1500 };
+// A job's age is read off clocks of two machines; more than this is a clock that jumped.
+constexpr milliseconds longestAge { 600'000 };
+
+std::int64_t unixNow()
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+std::string idOf(const std::string& key, const std::string& prefix)
+{
+    return key.substr(prefix.size());
+}
+
+} // namespace
+
+fleet_scheduler::fleet_scheduler(environment outside, std::uint64_t epoch, scheduler_settings settings)
+    : m_outside(std::move(outside))
+    , m_epoch(epoch)
+    , m_core(settings.core)
+    , m_agents(m_outside.loop, epoch, settings.directory,
+          { [this](const std::string& agent, const worker_report& report) { takeReport(agent, report); },
+              [this](const std::string& agent) {
+                  m_core.setUnreachable(agent);
+                  decideSoon();
+              },
+              [this](const std::string& agent) {
+                  oriole::logEvent(oriole::log_level::Warning, "worker_lost", { { "agent", agent } });
+                  m_core.loseWorker(agent, m_outside.loop.timers().now());
+                  decideSoon();
+              },
+              [this, limit = settings.directory.stewardship] { return m_outside.clock() - m_outside.provenAt() < limit; } })
+    , m_writer(m_outside.store, m_outside.loop.timers(), m_outside.clock, static_cast<revision_number>(epoch),
+          { [this](const std::string& job) {
+               // What is written now covers the starts decided until now.
+               auto& starts = m_starts[job];
+               std::for_each(starts.begin(), starts.end(), [](auto& start) { start.covered = true; });
+               const auto* row = m_core.findJob(job);
+               return row == nullptr ? progress_writer::source {}
+                                     : progress_writer::source { &row->progress, row->job.queue };
+           },
+              [this](const std::string& job) { recorded(job); }, m_outside.deposed, m_outside.proven })
+    , m_jobs(m_outside.store, m_outside.loop.timers(), record_keys::jobs)
+    , m_progress(m_outside.store, m_outside.loop.timers(), record_keys::progress)
+    , m_cancels(m_outside.store, m_outside.loop.timers(), record_keys::cancels)
+{
+}
+
+fleet_scheduler::~fleet_scheduler()
+{
+    *m_alive = false;
+    m_outside.loop.timers().cancel(m_ticks);
+}
+
+void fleet_scheduler::start(configuration rules, std::set<std::string> domainsOut)
+{
+    m_core.configure(std::move(rules));
+    m_core.setDomainsOut(std::move(domainsOut));
+    m_jobs.start(
+        [this](const record_change& change) {
+            if (m_decides && !change.removed)
+                takeJob(change.item);
+        },
+        [this] { loaded(); });
+    // Progress is read once: afterwards this scheduler alone writes it.
+    m_progress.loadOnce([this] { loaded(); });
+    m_cancels.start(
+        [this](const record_change& change) {
+            if (m_decides && !change.removed)
+                takeCancel(change.item.key);
+        },
+        [this] { loaded(); });
+    m_ticks = m_outside.loop.timers().subscribeEvery(tickPeriod, [this](time_point) { tick(); });
+}
+
+void fleet_scheduler::loaded()
+{
+    if (m_decides || !m_jobs.loaded() || !m_progress.loaded() || !m_cancels.loaded())
+        return;
+    m_decides = true;
+    restoreJobs();
+    for (const auto& [name, worker] : m_core.state().workers)
+        m_agents.expect(name);
+    oriole::logEvent(oriole::log_level::Info, "records_loaded",
+        { { "epoch", m_epoch }, { "jobs", m_core.state().jobs.size() }, { "live_runs", m_core.state().runs.size() },
+            { "agents_connected", m_agents.connected() } });
+    decideSoon();
+}
+
+void fleet_scheduler::restoreJobs()
+{
+    for (const auto& [key, item] : m_progress.records()) {
+        const auto progress = decodeProgress(item.value);
+        // Without a state the status is written again: a take-over mends one that is behind.
+        m_writer.restore(idOf(key, record_keys::progress), item.revision,
+            progress && isFinal(progress->state) ? std::optional(progress->state) : std::nullopt);
+    }
+    for (const auto& [key, item] : m_jobs.records())
+        takeJob(item);
+    for (const auto& [key, item] : m_cancels.records())
+        takeCancel(key);
+}
+
+void fleet_scheduler::takeJob(const record& item)
+{
+    auto job = decodeJob(item.value);
+    if (!job) {
+        oriole::logEvent(oriole::log_level::Error, "job_record_unreadable", { { "key", item.key } });
+        return;
+    }
+    const auto id = job->id;
+    job_progress progress;
+    if (const auto recorded = m_progress.records().find(record_keys::progress + id); recorded != m_progress.records().end()) {
+        if (auto decoded = decodeProgress(recorded->second.value))
+            progress = std::move(*decoded);
+        else
+            oriole::logEvent(oriole::log_level::Error, "progress_record_unreadable", { { "job", id } });
+    }
+    const auto now = m_outside.loop.timers().now();
+    const auto age = std::clamp(milliseconds(unixNow() - job->acceptedUnixMs), milliseconds(0), longestAge);
+    oriole::logEvent(oriole::log_level::Info, "job_taken",
+        { { "job", id }, { "queue", job->queue }, { "age_ms", age.count() }, { "steps", job->spec.steps.size() },
+            { "state", toString(progress.state) } });
+    m_core.addJob(std::move(*job), std::move(progress), now - age, now);
+    decideSoon();
+}
+
+void fleet_scheduler::takeCancel(const std::string& key)
+{
+    const auto id = idOf(key, record_keys::cancels);
+    oriole::logEvent(oriole::log_level::Info, "cancel_taken", { { "job", id } });
+    m_core.cancelJob(id);
+    decideSoon();
+}
+
+void fleet_scheduler::configure(configuration rules)
+{
+    m_core.configure(std::move(rules));
+    decideSoon();
+}
+
+void fleet_scheduler::setDomainsOut(std::set<std::string> domains)
+{
+    m_core.setDomainsOut(std::move(domains));
+    decideSoon();
+}
+
+void fleet_scheduler::announce(const std::string& agent, const std::string& address)
+{
+    m_agents.announce(agent, address);
+}
+
+void fleet_scheduler::forget(const std::string& agent)
+{
+    m_agents.forget(agent);
+}
+
+void fleet_scheduler::takeReport(const std::string& agent, const worker_report& report)
+{
+    // Before the records are loaded a report would show only runs without a record.
+    if (!m_decides)
+        return;
+    for (const auto& ended : report.ended) {
+        if (!m_ends[agent].jobs.contains(ended.number) || m_ends[agent].life != report.worker.life) {
+            oriole::logEvent(oriole::log_level::Info, "run_ended",
+                { { "task", toString(ended.run.task) }, { "attempt", ended.run.attempt }, { "how", toString(ended.how) },
+                    { "agent", agent } });
+        }
+    }
+    m_core.takeReport(agent, report, m_outside.loop.timers().now());
+    noteEnds(agent, report);
+    for (const auto& job : m_core.takeChanged())
+        m_writer.change(job);
+    acknowledgeEnds(agent);
+    // A stop that was not answered is sent again now that the agent is there.
+    for (const auto& [id, run] : m_core.state().runs) {
+        if (run.worker == agent && run.phase == run_phase::Stopping && !m_stopping.contains(id))
+            sendStop(id);
+    }
+    decideSoon();
+}
+
+void fleet_scheduler::noteEnds(const std::string& agent, const worker_report& report)
+{
+    auto& ends = m_ends[agent];
+    if (ends.life != report.worker.life)
+        ends = { report.worker.life, {}, 0 };
+    bool toldInVain = false;
+    for (const auto& ended : report.ended) {
+        if (ended.number > ends.told)
+            ends.jobs.try_emplace(ended.number, ended.run.task.job);
+        else
+            toldInVain = true;
+    }
+    if (toldInVain)
+        m_agents.acknowledge(agent, ends.life, ends.told);
+}
+
+void fleet_scheduler::acknowledgeEnds(const std::string& agent)
+{
+    auto& ends = m_ends[agent];
+    std::uint64_t upTo = ends.told;
+    while (!ends.jobs.empty()) {
+        const auto first = ends.jobs.begin();
+        if (!m_writer.isClean(first->second))
+            break;
+        upTo = first->first;
+        ends.jobs.erase(first);
+    }
+    if (upTo == ends.told)
+        return;
+    ends.told = upTo;
+    m_agents.acknowledge(agent, ends.life, upTo);
+}
+
+void fleet_scheduler::decideSoon()
+{
+    if (m_decisionDue)
+        return;
+    m_decisionDue = true;
+    m_outside.loop.detach("decide", kj::evalLater([this, alive = m_alive] {
+        if (*alive)
+            decide();
+    }));
+}
+
+void fleet_scheduler::decide()
+{
+    m_decisionDue = false;
+    if (!m_decides)
+        return;
+    const auto effects = m_core.decide(m_outside.loop.timers().now(), unixNow());
+    for (const auto& job : m_core.takeChanged())
+        m_writer.change(job);
+    for (const auto& entry : effects)
+        std::visit([this](const auto& order) { perform(order); }, entry);
+}
+
+void fleet_scheduler::perform(const start_effect& order)
+{
+    oriole::logEvent(oriole::log_level::Info, "placed",
+        { { "task", toString(order.run.task) }, { "attempt", order.run.attempt }, { "agent", order.worker },
+            { "spread", order.spread }, { "slack_ms", order.slack.count() }, { "resumes", !order.checkpoint.empty() } });
+    m_starts[order.run.task.job].push_back({ order, false });
+}
+
+void fleet_scheduler::perform(const stop_effect& order)
+{
+    oriole::logEvent(oriole::log_level::Info, "stopping",
+        { { "task", toString(order.run.task) }, { "attempt", order.run.attempt }, { "agent", order.worker },
+            { "reason", order.reason } });
+    // A start that was not sent need not be stopped.
+    auto& starts = m_starts[order.run.task.job];
+    const auto unsent = std::find_if(starts.begin(), starts.end(), [&](const auto& start) { return start.order.run == order.run; });
+    if (unsent != starts.end()) {
+        starts.erase(unsent);
+        m_core.runAbsent(order.run, m_outside.loop.timers().now());
+        decideSoon();
+        return;
+    }
+    sendStop(order.run);
+}
+
+void fleet_scheduler::recorded(const std::string& job)
+{
+    auto waiting = std::exchange(m_starts[job], {});
+    for (const auto& start : waiting) {
+        if (start.covered)
+            sendStart(start.order);
+        else
+            m_starts[job].push_back(start);
+    }
+    if (m_starts[job].empty())
+        m_starts.erase(job);
+    for (auto& [agent, ends] : m_ends)
+        acknowledgeEnds(agent);
+}
+
+void fleet_scheduler::sendStart(const start_effect& order)
+{
+    const auto& runs = m_core.state().runs;
+    const auto run = runs.find(order.run);
+    if (run == runs.end() || run->second.phase != run_phase::Placed)
+        return;
+    const auto* job = m_core.findJob(order.run.task.job);
+    start_order message { order.run, job->job.spec.text, order.checkpoint };
+    m_agents.start(order.worker, order.life, message,
+        [this, id = order.run, alive = m_alive](start_outcome outcome, const std::string& reason) {
+            if (!*alive)
+                return;
+            const auto now = m_outside.loop.timers().now();
+            if (outcome == start_outcome::Accepted)
+                return m_core.startAccepted(id, now);
+            oriole::logEvent(oriole::log_level::Info, "start_not_accepted",
+                { { "task", toString(id.task) }, { "attempt", id.attempt }, { "reason", reason },
+                    { "outcome", outcome == start_outcome::Refused ? "refused" : "unknown" } });
+            if (outcome == start_outcome::Refused)
+                m_core.startRefused(id, reason == "room", now);
+            else
+                m_core.startUnknown(id);
+            decideSoon();
+        });
+}
+
+void fleet_scheduler::sendStop(const run_id& id)
+{
+    const auto& runs = m_core.state().runs;
+    const auto run = runs.find(id);
+    if (run == runs.end())
+        return;
+    m_stopping.insert(id);
+    m_agents.stop(run->second.worker, run->second.life, id, [this, id, alive = m_alive](stop_outcome outcome) {
+        if (!*alive)
+            return;
+        if (outcome == stop_outcome::Absent) {
+            m_stopping.erase(id);
+            m_core.runAbsent(id, m_outside.loop.timers().now());
+            return decideSoon();
+        }
+        const bool ending = outcome == stop_outcome::Ending;
+        m_outside.loop.timers().subscribeOnce(ending ? endPatience : stopRetry, [this, id, alive](time_point) {
+            if (!*alive)
+                return;
+            m_stopping.erase(id);
+            sendStop(id);
+        });
+    });
+}
+
+void fleet_scheduler::tick()
+{
+    const auto now = m_outside.loop.timers().now();
+    m_agents.check(now);
+    std::erase_if(m_stopping, [this](const run_id& id) { return !m_core.state().runs.contains(id); });
+    decideSoon();
+}
+
+} // namespace fleet
--- /dev/null
+++ b/lib/libfleet/source/scheduler/progress_writer.cpp
@@ -0,0 +1,165 @@
+#include <fleet/scheduler/progress_writer.hpp>
+
+#include <fleet/records/job_codec.hpp>
+
+#include <oriole/helpers/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+// A transaction takes 32 entries: the condition on the scheduler's record, and a condition and two writes a job.
+constexpr std::size_t jobsPerTransaction = 10;
+constexpr milliseconds retryDelay { 150 };
+constexpr milliseconds conflictDelay { 10 };
+
+} // namespace
+
+progress_writer::progress_writer(record_store& store, oriole::timer_service& timers,
+    std::function<oriole::time_point()> clock, revision_number epoch, handlers notify)
+    : m_store(store)
+    , m_timers(timers)
+    , m_clock(std::move(clock))
+    , m_epoch(epoch)
+    , m_notify(std::move(notify))
+{
+}
+
+progress_writer::~progress_writer()
+{
+    *m_alive = false;
+}
+
+void progress_writer::restore(const std::string& job, revision_number revision, std::optional<job_state> state)
+{
+    m_rows[job].revision = revision;
+    m_rows[job].recordedState = state;
+}
+
+void progress_writer::change(const std::string& job)
+{
+    m_rows[job].dirty = true;
+    m_dirty.insert(job);
+    later(milliseconds(0));
+}
+
+bool progress_writer::isClean(const std::string& job) const
+{
+    const auto entry = m_rows.find(job);
+    return entry == m_rows.end() || (!entry->second.dirty && !entry->second.writing);
+}
+
+void progress_writer::later(milliseconds delay)
+{
+    if (delay.count() == 0) {
+        if (m_flushing)
+            return;
+        m_flushing = true;
+    }
+    m_timers.subscribeOnce(delay, [this, delay, alive = m_alive](oriole::time_point) {
+        if (!*alive)
+            return;
+        if (delay.count() == 0)
+            m_flushing = false;
+        flush();
+    });
+}
+
+void progress_writer::flush()
+{
+    std::vector<std::string> jobs;
+    for (const auto& job : m_dirty) {
+        if (!m_rows[job].writing)
+            jobs.push_back(job);
+        if (jobs.size() == jobsPerTransaction)
+            break;
+    }
+    if (jobs.empty())
+        return;
+    write(jobs);
+    flush();
+}
+
+void progress_writer::write(const std::vector<std::string>& jobs)
+{
+    record_transaction transaction;
+    transaction.conditions.push_back({ record_keys::scheduler, m_epoch });
+    std::vector<job_state> states;
+    for (const auto& job : jobs) {
+        auto& entry = m_rows[job];
+        const auto source = m_notify.read(job);
+        entry.dirty = false;
+        entry.writing = true;
+        m_dirty.erase(job);
+        states.push_back(source.progress == nullptr ? job_state::Queued : source.progress->state);
+        if (source.progress == nullptr)
+            continue;
+        transaction.conditions.push_back({ record_keys::progress + job, entry.revision });
+        transaction.writes.push_back({ record_keys::progress + job, encodeProgress(*source.progress) });
+        if (entry.recordedState != states.back())
+            transaction.writes.push_back({ record_keys::status + job, encodeStatus({ source.queue, states.back() }) });
+    }
+    ++m_busy;
+    const auto sentAt = m_clock();
+    m_store.commit(std::move(transaction),
+        [this, jobs, states, sentAt, alive = m_alive](const result<commit_outcome>& outcome) {
+            if (!*alive)
+                return;
+            --m_busy;
+            take(jobs, states, sentAt, outcome);
+        });
+}
+
+void progress_writer::take(const std::vector<std::string>& jobs, const std::vector<job_state>& states,
+    oriole::time_point sentAt, const result<commit_outcome>& outcome)
+{
+    const bool applied = outcome && outcome.value().applied;
+    for (std::size_t i = 0; i < jobs.size(); ++i) {
+        auto& entry = m_rows[jobs[i]];
+        entry.writing = false;
+        if (applied) {
+            entry.revision = outcome.value().revision;
+            entry.recordedState = states[i];
+        } else {
+            entry.dirty = true;
+            m_dirty.insert(jobs[i]);
+            // A write without an answer may have changed the status.
+            entry.recordedState.reset();
+        }
+    }
+    if (applied) {
+        m_notify.proven(sentAt);
+        for (const auto& job : jobs)
+            m_notify.recorded(job);
+        return flush();
+    }
+    if (!outcome) {
+        oriole::logEvent(oriole::log_level::Warning, "progress_not_written",
+            { { "jobs", jobs.size() }, { "first", jobs.front() }, { "reason", outcome.error().reason } });
+        return later(retryDelay);
+    }
+    if (!adopt(outcome.value().current))
+        return m_notify.deposed("the scheduler's record has changed");
+    later(conflictDelay);
+}
+
+/// An earlier write of ours that was not answered may have been made: its revision is the one to go on from.
+/// @return False when this scheduler does not decide any more.
+bool progress_writer::adopt(const std::vector<record>& current)
+{
+    for (const auto& item : current) {
+        if (item.key == record_keys::scheduler) {
+            if (item.revision != m_epoch)
+                return false;
+            continue;
+        }
+        if (item.key.starts_with(record_keys::progress))
+            m_rows[item.key.substr(record_keys::progress.size())].revision = item.revision;
+    }
+    return true;
+}
+
+} // namespace fleet
--- a/lib/liboriole/source/helpers/event_loop.cpp
+++ b/lib/liboriole/source/helpers/event_loop.cpp
@@ -17,6 +17,7 @@
     // Signals have to be captured before the event port exists.
     kj::UnixEventPort::captureSignal(SIGTERM);
     kj::UnixEventPort::captureSignal(SIGINT);
+    kj::UnixEventPort::captureSignal(SIGHUP);
     return kj::setupAsyncIo();
 }
 
--- /dev/null
+++ b/main/oriolefleetd/source/agent_process.cpp
@@ -0,0 +1,91 @@
+#include "agent_process.hpp"
+
+#include "boot_clock.hpp"
+
+#include <heartbeat_api.hpp>
+#include <runtime_adapter.hpp>
+#include <store_adapter.hpp>
+
+#include <fleet/agent/agent_server.hpp>
+#include <fleet/entry/fleet_entry.hpp>
+
+#include <oriole/helpers/log.hpp>
+
+namespace fleetd {
+
+namespace {
+
+using oriole::milliseconds;
+
+constexpr milliseconds longestLease { 6000 };
+// Without a scheduler the agent announces itself again at this pace.
+constexpr milliseconds announcePeriod { 2500 };
+constexpr milliseconds announceRetry { 300 };
+
+fleet::agent_timing agentTiming(const platform::node_settings& settings)
+{
+    fleet::agent_timing timing;
+    timing.lease = std::min(longestLease, settings.longestLease);
+    return timing;
+}
+
+class agent_process {
+public:
+    explicit agent_process(const platform::node_settings& settings)
+        : m_settings(settings)
+        , m_store(m_loop, settings.storeAddress)
+        , m_agent(m_loop.timers(), bootClock, agentTiming(settings),
+              [this](const fleet::worker_heartbeat& worker) { return std::make_unique<platform::runtime_adapter>(m_loop, worker); })
+        , m_heartbeats(m_loop, settings.heartbeatAddress, m_agent)
+        , m_server(m_loop, m_agent, settings.rpcAddress)
+    {
+    }
+
+    int run()
+    {
+        oriole::logEvent(oriole::log_level::Info, "started",
+            { { "role", "agent" }, { "failure_domain", m_settings.failureDomain }, { "rpc", m_settings.rpcAddress } });
+        announce();
+        m_loop.onStopSignal([this] { m_loop.stop(); });
+        m_loop.run();
+        oriole::logEvent(oriole::log_level::Info, "stopped", {});
+        return 0;
+    }
+
+private:
+    /// An agent that no scheduler has attached to writes its address again, which schedulers hear.
+    void announce()
+    {
+        if (m_agent.attached())
+            return announceLater(announcePeriod);
+        fleet::record_transaction announcement;
+        announcement.writes = { { fleet::agentKey(m_settings.name), m_settings.rpcAddress } };
+        m_store.commit(std::move(announcement), [this](const oriole::result<fleet::commit_outcome>& outcome) {
+            if (!outcome) {
+                oriole::logEvent(oriole::log_level::Warning, "announcement_failed", { { "reason", outcome.error().reason } });
+            }
+            announceLater(outcome ? announcePeriod : announceRetry);
+        });
+    }
+
+    void announceLater(milliseconds delay)
+    {
+        m_loop.timers().subscribeOnce(delay, [this](oriole::time_point) { announce(); });
+    }
+
+    const platform::node_settings& m_settings;
+    oriole::event_loop m_loop;
+    platform::store_adapter m_store;
+    fleet::worker_agent m_agent;
+    platform::heartbeat_api m_heartbeats;
+    fleet::agent_server m_server;
+};
+
+} // namespace
+
+int runAgent(const platform::node_settings& settings)
+{
+    return agent_process(settings).run();
+}
+
+} // namespace fleetd
--- /dev/null
+++ b/main/oriolefleetd/source/boot_clock.hpp
@@ -0,0 +1,11 @@
+/// @file
+/// @brief A clock that also counts while the machine is suspended.
+#pragma once
+
+#include <oriole/helpers/timer_service.hpp>
+
+namespace fleetd {
+
+oriole::time_point bootClock();
+
+} // namespace fleetd
--- /dev/null
+++ b/main/oriolefleetd/source/entry_process.cpp
@@ -0,0 +1,109 @@
+#include "entry_process.hpp"
+
+#include "boot_clock.hpp"
+
+#include <caller_api.hpp>
+#include <operator_channel.hpp>
+#include <store_adapter.hpp>
+
+#include <fleet/entry/fleet_entry.hpp>
+
+#include <oriole/helpers/log.hpp>
+
+namespace fleetd {
+
+namespace {
+
+using oriole::milliseconds;
+
+// A call is served by a view that is at most this old; the operators' bound is 2.5 s.
+constexpr milliseconds viewFreshness { 1500 };
+// An entry that could not confirm its view for this long sends new callers elsewhere.
+constexpr milliseconds readyFreshness { 3500 };
+constexpr milliseconds longestLease { 6000 };
+// The platform needs two failed looks of a second each to send new callers elsewhere.
+constexpr milliseconds drainTime { 2500 };
+constexpr milliseconds stopCheck { 100 };
+// Left of the platform's grace for the process to end.
+constexpr milliseconds stopMargin { 1200 };
+
+fleet::scheduler_settings schedulerSettings(const platform::node_settings& settings)
+{
+    fleet::scheduler_settings out;
+    out.core.spreadFactor = settings.spreadFactor;
+    out.core.gangTimeout = settings.gangTimeout;
+    out.directory.agents.lease = std::min(longestLease, settings.longestLease);
+    return out;
+}
+
+/// @brief Everything that an entry is made of.
+class entry_process {
+public:
+    explicit entry_process(const platform::node_settings& settings)
+        : m_settings(settings)
+        , m_store(m_loop, settings.storeAddress)
+        , m_control(m_store, m_loop.timers(), bootClock, settings.failureDomains)
+        , m_desk(m_store, m_loop.timers())
+        , m_entry({ m_loop, m_store, m_control, m_metrics, bootClock }, settings.name, schedulerSettings(settings))
+        , m_api({ m_loop, m_desk, m_control, m_metrics, bootClock, viewFreshness })
+        , m_callers(m_loop, { settings.callerAddress, { "X-Key", "X-Deadline-Ms" }, 1U << 20U },
+              [this](const fleet::incoming_request& request, const auto& respond) { m_api.handle(request, respond); })
+        , m_ready(m_loop, { settings.readyAddress, {}, 1024 },
+              [this](const fleet::incoming_request&, const auto& respond) { respond({ isReady() ? 200U : 503U, "{}", {} }); })
+    {
+    }
+
+    int run()
+    {
+        oriole::logEvent(oriole::log_level::Info, "started",
+            { { "role", "entry" }, { "failure_domain", m_settings.failureDomain }, { "callers", m_settings.callerAddress } });
+        m_control.start([this] { m_entry.controlChanged(); });
+        m_desk.start();
+        m_entry.start();
+        m_loop.onStopSignal([this] { stop(); });
+        m_loop.run();
+        oriole::logEvent(oriole::log_level::Info, "stopped", {});
+        return 0;
+    }
+
+private:
+    bool isReady() const
+    {
+        return !m_stopping && m_desk.ready() && m_control.view().known
+            && bootClock() - m_control.view().provenAt < readyFreshness;
+    }
+
+    void stop()
+    {
+        oriole::logEvent(oriole::log_level::Info, "stopping_process", { { "running_requests", m_callers.running() } });
+        m_stopping = true;
+        m_entry.resign([] {});
+        m_loop.timers().subscribeOnce(drainTime, [this](oriole::time_point) { m_callers.closeAfterAnswers(); });
+        const auto last = m_loop.timers().now() + m_settings.stopGrace - stopMargin;
+        m_loop.timers().subscribeEvery(stopCheck, [this, last](oriole::time_point now) {
+            if (now >= last)
+                m_loop.stop();
+        });
+    }
+
+    const platform::node_settings& m_settings;
+    oriole::event_loop m_loop;
+    oriole::metrics_registry m_metrics;
+    platform::store_adapter m_store;
+    platform::operator_channel m_control;
+    fleet::job_desk m_desk;
+    fleet::fleet_entry m_entry;
+    platform::caller_api m_api;
+    fleet::http_listener m_callers;
+    fleet::http_listener m_ready;
+    bool m_stopping = false;
+};
+
+} // namespace
+
+int runEntry(const platform::node_settings& settings)
+{
+    return entry_process(settings).run();
+}
+
+} // namespace fleetd
