A take-over keeps recorded runs

Change: a run is lost when its own life differs from the reported one. Test: seen failing first (fleet_tests, take-over).

--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -74,6 +74,7 @@
 
 private:
     void settle(const run_id& run, run_end how, const std::string& checkpoint, time_point now);
+    void loseOtherLives(const std::string& worker, const worker_life& life, time_point now);
     void judgeWorker(const live_run& run, run_end how, time_point now);
     void noteActive(const std::string& worker, const worker_report& report, time_point now);
     void noteMissing(const std::string& worker, const worker_report& report, time_point now);
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -105,8 +105,8 @@
 void scheduler_core::takeReport(const std::string& worker, const worker_report& report, time_point now)
 {
     auto& row = m_state.workers[worker];
+    loseOtherLives(worker, report.worker.life, now);
     if (row.about.life != report.worker.life) {
-        loseWorker(worker, now);
         row.badness = 0;
         row.successes = 0;
         row.leavesAt.reset();
@@ -200,6 +200,18 @@
     m_state.workers[worker].reachable = false;
 }
 
+/// A record may name a worker that this scheduler has not heard of yet: the life that counts is that of the run.
+void scheduler_core::loseOtherLives(const std::string& worker, const worker_life& life, time_point now)
+{
+    std::vector<run_id> lost;
+    for (const auto& [id, run] : m_state.runs) {
+        if (run.worker == worker && run.life != life)
+            lost.push_back(id);
+    }
+    for (const auto& id : lost)
+        settle(id, run_end::Lost, {}, now);
+}
+
 void scheduler_core::loseWorker(const std::string& worker, time_point now)
 {
     std::vector<run_id> lost;
--- /dev/null
+++ b/tests/fleet/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -0,0 +1,163 @@
+#include "core_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace fleet;
+using namespace fleet::test;
+
+TEST_CASE("a take-over keeps recorded runs of the worker's present life", "[core][take-over]")
+{
+    core_fixture first;
+    first.report("w1", workerReport("r1"));
+    first.add(job("a", "batch", { step(1, 2) }));
+    first.decide();
+    const auto progress = first.core.findJob("a")->progress;
+    REQUIRE(progress.occurrences.at(0).steps.at(0).at(0).status == task_status::Live);
+
+    core_fixture next;
+    next.add(job("a", "batch", { step(1, 2) }), progress);
+    SECTION("the run is listed: it goes on")
+    {
+        auto report = workerReport("r1");
+        report.active.push_back({ { { "a", 0, 0, 0 }, 1 }, {}, 10 });
+        next.core.takeReport("w1", report, next.now);
+        CHECK(next.decide().empty());
+        CHECK(next.core.state().runs.size() == 1);
+    }
+    SECTION("its end is listed: it is done and starts no more")
+    {
+        next.end("w1", workerReport("r1"), { { "a", 0, 0, 0 }, 1 }, run_end::Done);
+        CHECK(next.decide().empty());
+        CHECK(next.core.findJob("a")->progress.state == job_state::Completed);
+    }
+    SECTION("it is not listed: it is stopped there before it starts anew")
+    {
+        next.core.takeReport("w1", workerReport("r1"), next.now);
+        const auto effects = next.decide();
+        REQUIRE(effects.size() == 1);
+        CHECK(std::get<stop_effect>(effects[0]).run.attempt == 1);
+        next.core.runAbsent({ { "a", 0, 0, 0 }, 1 }, next.now);
+        const auto starts = core_fixture::only<start_effect>(next.decide());
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].run.attempt == 2);
+    }
+    SECTION("the worker lives anew: the run is lost and starts again")
+    {
+        next.core.takeReport("w1", workerReport("r1", 8, "another"), next.now);
+        const auto starts = core_fixture::only<start_effect>(next.decide());
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].run.attempt == 2);
+    }
+}
+
+TEST_CASE("a gang starts whole or not at all", "[core][gang]")
+{
+    core_fixture fixture;
+    fixture.report("w1", workerReport("r1", 4));
+    auto gang = step(2, 3);
+    gang.gang = true;
+    fixture.add(job("a", "batch", { gang }));
+    CHECK(fixture.decide().empty());
+    fixture.report("w2", workerReport("r1", 4));
+    CHECK(core_fixture::only<start_effect>(fixture.decide()).size() == 2);
+
+    SECTION("a member that ends takes the others with it, and all start again together")
+    {
+        fixture.end("w1", workerReport("r1", 4), { { "a", 0, 0, 0 }, 1 }, run_end::Lost);
+        const auto stops = core_fixture::only<stop_effect>(fixture.decide());
+        REQUIRE(stops.size() == 1);
+        fixture.end("w2", workerReport("r1", 4), { { "a", 0, 0, 1 }, 1 }, run_end::Stopped);
+        const auto starts = core_fixture::only<start_effect>(fixture.decide());
+        REQUIRE(starts.size() == 2);
+        CHECK(starts[0].run.attempt == 2);
+        CHECK(starts[1].run.attempt == 2);
+    }
+    SECTION("one end as done stands for all")
+    {
+        fixture.end("w1", workerReport("r1", 4), { { "a", 0, 0, 0 }, 1 }, run_end::Done);
+        CHECK(fixture.core.findJob("a")->progress.state == job_state::Completed);
+        fixture.end("w2", workerReport("r1", 4), { { "a", 0, 0, 1 }, 1 }, run_end::Lost);
+        CHECK(fixture.decide().empty());
+    }
+    SECTION("members that fail together count as one attempt")
+    {
+        fixture.end("w1", workerReport("r1", 4), { { "a", 0, 0, 0 }, 1 }, run_end::Failed);
+        fixture.end("w2", workerReport("r1", 4), { { "a", 0, 0, 1 }, 1 }, run_end::Failed);
+        CHECK(fixture.core.findJob("a")->progress.occurrences[0].steps[0][0].failures == 1);
+    }
+}
+
+TEST_CASE("steps wait for the steps before them", "[core]")
+{
+    core_fixture fixture;
+    fixture.report("w1", workerReport("r1"));
+    auto second = step(1, 1);
+    second.after = { 0 };
+    fixture.add(job("a", "batch", { step(2, 1), second }));
+    CHECK(core_fixture::only<start_effect>(fixture.decide()).size() == 2);
+    fixture.end("w1", workerReport("r1"), { { "a", 0, 0, 0 }, 1 }, run_end::Done);
+    CHECK(core_fixture::only<start_effect>(fixture.decide()).empty());
+    fixture.end("w1", workerReport("r1"), { { "a", 0, 0, 1 }, 1 }, run_end::Done);
+    CHECK(core_fixture::only<start_effect>(fixture.decide()).size() == 1);
+}
+
+TEST_CASE("urgent work takes the place of batch work when nothing is free", "[core][eviction]")
+{
+    core_fixture fixture;
+    fixture.report("w1", workerReport("r1"));
+    fixture.add(job("batch", "batch", { step(1, 8) }));
+    fixture.decide();
+    fixture.add(job("urgent", "urgent", { step(1, 8) }));
+    const auto stops = core_fixture::only<stop_effect>(fixture.decide());
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run.task.job == "batch");
+    fixture.end("w1", workerReport("r1"), stops[0].run, run_end::Stopped);
+    const auto starts = core_fixture::only<start_effect>(fixture.decide());
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run.task.job == "urgent");
+}
+
+TEST_CASE("a job fails only when its attempts have failed", "[core]")
+{
+    core_fixture fixture;
+    for (const auto* name : { "w1", "w2", "w3", "w4" })
+        fixture.report(name, workerReport("r1"));
+    fixture.add(job("a", "batch", { step(1, 1) }));
+    for (unsigned attempt = 1; attempt <= 3; ++attempt) {
+        const auto starts = core_fixture::only<start_effect>(fixture.decide());
+        REQUIRE(starts.size() == 1);
+        CHECK(fixture.core.findJob("a")->progress.state == job_state::Running);
+        fixture.end(starts[0].worker, workerReport("r1"), starts[0].run, run_end::Failed);
+    }
+    CHECK(fixture.core.findJob("a")->progress.state == job_state::Failed);
+    CHECK(fixture.decide().empty());
+}
+
+TEST_CASE("a cancelled job is stopped and starts no more", "[core]")
+{
+    core_fixture fixture;
+    fixture.report("w1", workerReport("r1"));
+    fixture.add(job("a", "batch", { step(1, 1) }));
+    fixture.decide();
+    fixture.core.cancelJob("a");
+    CHECK(core_fixture::only<stop_effect>(fixture.decide()).size() == 1);
+    fixture.core.runAbsent({ { "a", 0, 0, 0 }, 1 }, fixture.now);
+    CHECK(fixture.decide().empty());
+    CHECK(fixture.core.findJob("a")->progress.state == job_state::Cancelled);
+}
+
+TEST_CASE("nothing starts on workers that drain or lie in a domain that is out", "[core]")
+{
+    core_fixture fixture;
+    auto leaving = workerReport("r1");
+    leaving.worker.draining = true;
+    fixture.report("w1", leaving);
+    fixture.report("w2", workerReport("r1"));
+    fixture.core.setDomainsOut({ "domain-a" });
+    fixture.add(job("a", "batch", { step(1, 1) }));
+    CHECK(fixture.decide().empty());
+    fixture.core.setDomainsOut({});
+    const auto starts = core_fixture::only<start_effect>(fixture.decide());
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].worker == "w2");
+}
