Stragglers are judged by the progress of their siblings

Change: a member at 100 % is left alone; a run is slow against what other runs of its step have shown, else against 2.2 times its estimate.

--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -29,6 +29,8 @@
     run_id run;
     std::string worker;
     std::string reason;
+    double percent = 0; ///< Of its work that was done.
+    double ratePercent = 0; ///< Latest rate, percent a second; 0 while unknown.
 };
 
 using effect = std::variant<start_effect, stop_effect>;
@@ -80,6 +82,7 @@
     void noteMissing(const std::string& worker, const worker_report& report, time_point now);
     void takeActive(live_run& run, const active_run& seen, time_point now);
     void adoptUnknown(const std::string& worker, const worker_report& report, const active_run& seen, time_point now);
+    void learnRunTime(const live_run& run);
     void restoreRuns(const job_row& job, time_point now);
     void beginDue(std::int64_t unixMs, time_point now);
     void stopFinished();
@@ -95,6 +98,8 @@
     void dropReservation(const unit_id& unit);
     [[nodiscard]] std::vector<pending_unit> collectPending(time_point now) const;
     [[nodiscard]] placement_request requestFor(const job_row& job, const unit_id& unit, time_point now) const;
+    [[nodiscard]] bool isStalled(const live_run& run, const step_spec& step, time_point now) const;
+    [[nodiscard]] bool isSlow(const live_run& run, const job_row& job) const;
     [[nodiscard]] bool couldMove(const live_run& run, time_point now) const;
 
     core_settings m_settings;
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -49,6 +49,7 @@
     time_point acceptedAt;
     bool cancelled = false; ///< Its caller has cancelled it.
     time_point readySince; ///< When a unit of it last became ready.
+    std::map<unsigned, double> fastestMs; ///< By step: shortest run time that progress has shown, near its data.
     std::set<std::string> failedOn; ///< Workers on which a run of it ended as failed.
 };
 
@@ -65,6 +66,7 @@
     room need;
     run_phase phase = run_phase::Placed;
     double expectedMs = 0; ///< Run time from its start, as estimated when it was placed.
+    double spread = 1; ///< Factor by which it runs longer than near its data.
     time_point placedAt;
     double percent = 0;
     time_point advancedAt; ///< When percent last rose.
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -158,9 +158,22 @@
         run.ratePercent = (run.percent - run.windowPercent) / secondsBetween(run.windowAt, now);
         run.windowPercent = run.percent;
         run.windowAt = now;
+        learnRunTime(run);
     }
 }
 
+/// How long a step takes shows in its tasks' progress; estimates are off by half and more.
+void scheduler_core::learnRunTime(const live_run& run)
+{
+    const auto job = m_state.jobs.find(run.id.task.job);
+    if (job == m_state.jobs.end() || run.ratePercent <= 0 || run.percent >= 100)
+        return;
+    const double wholeMs = 100 / run.ratePercent * 1000 / run.spread;
+    const auto [known, added] = job->second.fastestMs.try_emplace(run.id.task.step, wholeMs);
+    if (!added)
+        known->second = std::min(known->second, wholeMs);
+}
+
 /// What runs without a record of ours was started by an order that came late: it has to end.
 void scheduler_core::adoptUnknown(
     const std::string& worker, const worker_report& report, const active_run& seen, time_point now)
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -16,6 +16,10 @@
 // A slow run is started elsewhere when that is this much faster.
 constexpr double moveGain = 1.6;
 constexpr double moveCostSeconds = 1;
+// Tasks of one step differ by up to this factor on sound workers.
+constexpr double unevenness = 2.5;
+// Estimates are off by up to this factor; slow workers take four times as long and more.
+constexpr double estimateError = 2.2;
 constexpr double slowBadness = 1;
 // A worker that drains is left when its run can't end in the time that is left, less the time of a stop.
 constexpr milliseconds leaveMargin { 900 };
@@ -65,7 +69,7 @@
 void scheduler_core::stop(live_run& run, const std::string& reason)
 {
     run.phase = run_phase::Stopping;
-    m_effects.emplace_back(stop_effect { run.id, run.worker, reason });
+    m_effects.emplace_back(stop_effect { run.id, run.worker, reason, run.percent, run.ratePercent });
 }
 
 void scheduler_core::stopUnit(const unit_id& unit, const std::string& reason)
@@ -126,15 +130,11 @@
         if (run.phase != run_phase::Active || job == m_state.jobs.end() || !m_state.workers[run.worker].reachable)
             continue;
         const auto& step = job->second.job.spec.steps[id.task.step];
-        if (step.lasting)
+        // A member that has finished waits for the others.
+        if (step.lasting || run.percent >= 100)
             continue;
-        auto patience = stallLimit + milliseconds(static_cast<std::int64_t>(run.expectedMs / 100 * stallPercents));
-        if (step.gang && run.percent <= 0)
-            patience += m_settings.gangTimeout;
-        const bool stalled = now - run.advancedAt > patience;
-        const double fresh = run.expectedMs / 1000 + moveCostSeconds;
-        const bool slow = run.ratePercent > 0 && (100 - run.percent) / run.ratePercent > fresh * moveGain;
-        if ((!stalled && !slow) || !couldMove(run, now))
+        const bool stalled = isStalled(run, step, now);
+        if ((!stalled && !isSlow(run, job->second)) || !couldMove(run, now))
             continue;
         auto& worker = m_state.workers[run.worker];
         worker.badness = badnessOf(worker, now) + slowBadness;
@@ -144,6 +144,30 @@
     }
 }
 
+bool scheduler_core::isStalled(const live_run& run, const step_spec& step, time_point now) const
+{
+    auto patience = stallLimit + milliseconds(static_cast<std::int64_t>(run.expectedMs / 100 * stallPercents));
+    if (step.gang && run.percent <= 0)
+        patience += m_settings.gangTimeout;
+    return now - run.advancedAt > patience;
+}
+
+/// A run is slow when it needs much longer than others of its step did, or far longer than estimated.
+bool scheduler_core::isSlow(const live_run& run, const job_row& job) const
+{
+    if (run.ratePercent <= 0)
+        return false;
+    const double remaining = (100 - run.percent) / run.ratePercent;
+    double elsewhere = run.expectedMs / 1000 * estimateError;
+    if (const auto known = job.fastestMs.find(run.id.task.step); known != job.fastestMs.end()) {
+        const double own = 100 / run.ratePercent * 1000 / run.spread;
+        // The fastest may be this run itself, which says nothing of others.
+        if (known->second < own / unevenness)
+            elsewhere = known->second / 1000;
+    }
+    return remaining > elsewhere * moveGain + moveCostSeconds;
+}
+
 bool scheduler_core::couldMove(const live_run& run, time_point now) const
 {
     const auto& job = m_state.jobs.at(run.id.task.job);
@@ -286,6 +310,7 @@
         if (step.fillsIdle)
             run.need.millicores = 0;
         run.expectedMs = static_cast<double>(step.estimateMs) * spread;
+        run.spread = spread;
         run.placedAt = run.advancedAt = run.windowAt = run.checkpointAt = now;
         worker.used += run.need;
         m_effects.emplace_back(start_effect { run.id, run.worker, run.life, checkpoint, spread, slack });
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -161,3 +161,83 @@
     REQUIRE(starts.size() == 1);
     CHECK(starts[0].worker == "w2");
 }
+
+namespace {
+
+/// @brief Lets time pass in steps of half a second; @p percentOf tells the progress of each run at a time.
+template <typename PercentOf>
+std::vector<stop_effect> passTime(core_fixture& fixture, const std::vector<std::string>& workers, double seconds, PercentOf percentOf)
+{
+    std::vector<stop_effect> stops;
+    const auto end = fixture.now + milliseconds(static_cast<std::int64_t>(seconds * 1000));
+    while (fixture.now < end) {
+        fixture.now += milliseconds(500);
+        for (const auto& worker : workers) {
+            auto report = workerReport("r1");
+            for (const auto& [id, run] : fixture.core.state().runs) {
+                if (run.worker == worker)
+                    report.active.push_back({ id, {}, percentOf(run) });
+            }
+            fixture.core.takeReport(worker, report, fixture.now);
+        }
+        for (auto& order : core_fixture::only<stop_effect>(fixture.decide()))
+            stops.push_back(order);
+    }
+    return stops;
+}
+
+double secondsSince(time_point from, time_point to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+} // namespace
+
+TEST_CASE("a gang's member that has finished and waits for the others does not stand still", "[core][stragglers]")
+{
+    core_fixture fixture;
+    for (const auto* name : { "w1", "w2", "w3", "w4" })
+        fixture.report(name, workerReport("r1"));
+    auto gang = step(2, 8, 8000);
+    gang.gang = true;
+    fixture.add(job("a", "batch", { gang }));
+    REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 2);
+    const auto began = fixture.now;
+    const auto stops = passTime(fixture, { "w1", "w2", "w3", "w4" }, 14, [&](const live_run& run) {
+        const double rate = run.id.task.index == 0 ? 14 : 7;
+        return std::min(100.0, secondsSince(began, fixture.now) * rate);
+    });
+    CHECK(stops.empty());
+}
+
+TEST_CASE("a run that takes twice its estimate everywhere is left alone, one on a slow worker is not", "[core][stragglers]")
+{
+    core_fixture fixture;
+    for (const auto* name : { "w1", "w2", "w3" })
+        fixture.report(name, workerReport("r1"));
+    fixture.add(job("a", "batch", { step(2, 8, 4000) }));
+    REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 2);
+    const auto began = fixture.now;
+    SECTION("both need twice the estimate")
+    {
+        CHECK(passTime(fixture, { "w1", "w2", "w3" }, 8, [&](const live_run&) {
+            return std::min(99.0, secondsSince(began, fixture.now) * 12);
+        }).empty());
+    }
+    SECTION("one needs six times as long as the other")
+    {
+        const auto stops = passTime(fixture, { "w1", "w2", "w3" }, 3, [&](const live_run& run) {
+            return std::min(99.0, secondsSince(began, fixture.now) * (run.id.task.index == 0 ? 24 : 4));
+        });
+        REQUIRE(stops.size() == 1);
+        CHECK(stops[0].run.task.index == 1);
+    }
+    SECTION("one stands still")
+    {
+        const auto stops = passTime(fixture, { "w1", "w2", "w3" }, 4, [&](const live_run& run) {
+            return run.id.task.index == 0 ? std::min(99.0, secondsSince(began, fixture.now) * 24) : 3.0;
+        });
+        REQUIRE(stops.size() == 1);
+        CHECK(stops[0].run.task.index == 1);
+    }
+}
