Urgent work waits for room that comes in time; evictions are weighed

Runs that resumed from a checkpoint were rated with the jump of their first report, which made their siblings look slow; urgent work evicted at once even where room came by itself within its slack. Change: a run is rated from its first reported progress; urgent work keeps room that will be free in time; an eviction must gain more than it loses unless a guarantee is due.

--- a/lib/libfleet/include/fleet/core/objective.hpp
+++ b/lib/libfleet/include/fleet/core/objective.hpp
@@ -17,6 +17,9 @@
 /// @brief How soon an occurrence has to be done after it was handed in or due.
 milliseconds objectiveOf(const job_spec& spec, const queue_rule& rule);
 
+/// @brief Estimated core-seconds of all tasks, accelerators counted as cores.
+double workOf(const job_spec& spec);
+
 /// @brief What is still to be gained by a job.
 enum class prospect {
     InTime, ///< Its objective can be kept.
--- a/lib/libfleet/include/fleet/core/placement.hpp
+++ b/lib/libfleet/include/fleet/core/placement.hpp
@@ -22,6 +22,7 @@
     bool farAllowed = false; ///< Whether it may run away from its data.
     std::optional<room> alreadyHeld; ///< Need of each task of its own reservation.
     std::vector<std::string> heldOn; ///< Workers of its own reservation.
+    std::map<std::string, room> freeSoon; ///< Room that runs will leave in time, by worker.
 };
 
 /// @brief Chooses a worker for each task.
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -31,6 +31,7 @@
     std::string reason;
     double percent = 0; ///< Of its work that was done.
     double ratePercent = 0; ///< Latest rate, percent a second; 0 while unknown.
+    double lossCoreSeconds = 0; ///< Work that is lost.
 };
 
 using effect = std::variant<start_effect, stop_effect>;
@@ -85,16 +86,19 @@
     void learnRunTime(const live_run& run);
     void restoreRuns(const job_row& job, time_point now);
     void beginDue(std::int64_t unixMs, time_point now);
-    void stopFinished();
-    void stopBrokenGangs();
+    void stopFinished(time_point now);
+    void stopBrokenGangs(time_point now);
     void stopLeaving(time_point now);
     void stopStragglers(time_point now);
     void place(time_point now);
     bool placeUnit(const pending_unit& entry, time_point now);
     void startUnit(const job_row& job, const unit_id& unit, const std::vector<std::string>& workers, time_point now);
+    [[nodiscard]] std::optional<std::vector<std::string>> findPlacesSoon(
+        placement_request request, milliseconds within) const;
+    void reserve(const unit_id& unit, const std::vector<std::string>& workers, const room& need, time_point until);
     void makeRoom(const pending_unit& entry, const placement_request& request, time_point now);
-    void stop(live_run& run, const std::string& reason);
-    void stopUnit(const unit_id& unit, const std::string& reason);
+    void stop(live_run& run, const std::string& reason, time_point now);
+    void stopUnit(const unit_id& unit, const std::string& reason, time_point now);
     void dropReservation(const unit_id& unit);
     [[nodiscard]] std::vector<pending_unit> collectPending(time_point now) const;
     [[nodiscard]] placement_request requestFor(const job_row& job, const unit_id& unit, time_point now) const;
@@ -104,6 +108,7 @@
 
     core_settings m_settings;
     tables m_state;
+    time_point m_decidedAt;
     std::set<std::string> m_changed;
     std::vector<effect> m_effects;
 };
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -75,6 +75,7 @@
     time_point windowAt;
     std::string checkpoint;
     time_point checkpointAt; ///< When the checkpoint last changed.
+    bool seen = false; ///< Its progress was reported since it was placed.
     bool unconfirmed = false; ///< Whether the worker has it is unknown; settled by its next report.
     std::optional<time_point> missingSince; ///< Since when reports lack it.
 };
--- a/lib/libfleet/source/core/objective.cpp
+++ b/lib/libfleet/source/core/objective.cpp
@@ -17,6 +17,8 @@
     return job.acceptedAt + milliseconds(due - job.job.acceptedUnixMs);
 }
 
+} // namespace
+
 double workOf(const job_spec& spec)
 {
     double sum = 0;
@@ -25,8 +27,6 @@
     return sum;
 }
 
-} // namespace
-
 milliseconds chainFrom(const job_spec& spec, unsigned step)
 {
     milliseconds longest { 0 };
--- a/lib/libfleet/source/core/placement.cpp
+++ b/lib/libfleet/source/core/placement.cpp
@@ -33,6 +33,8 @@
             if (held == name && request.alreadyHeld)
                 entry.free += *request.alreadyHeld;
         }
+        if (const auto soon = request.freeSoon.find(name); soon != request.freeSoon.end())
+            entry.free += soon->second;
         if (request.step->fillsIdle)
             entry.free.millicores = std::max(entry.free.millicores, request.step->need.millicores);
         if (const auto live = request.onWorker.find(name); live != request.onWorker.end())
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -15,7 +15,7 @@
 constexpr double failureBadness = 1;
 constexpr double successFactor = 0.25;
 // The rate of a run is read over windows of this length; reports come twice a second.
-constexpr milliseconds rateWindow { 1500 };
+constexpr milliseconds rateWindow { 1800 };
 
 room needOf(const step_spec& step)
 {
@@ -146,6 +146,12 @@
     run.missingSince.reset();
     if (run.phase == run_phase::Placed)
         run.phase = run_phase::Active;
+    if (!run.seen) {
+        // A run that resumes begins with the progress that was saved.
+        run.seen = true;
+        run.windowPercent = seen.percent;
+        run.windowAt = now;
+    }
     if (seen.percent > run.percent) {
         run.percent = seen.percent;
         run.advancedAt = now;
@@ -190,7 +196,7 @@
     run.placedAt = now;
     m_state.workers[worker].used += run.need;
     auto& added = m_state.runs.emplace(run.id, std::move(run)).first->second;
-    stop(added, "no record of it");
+    stop(added, "no record of it", now);
 }
 
 void scheduler_core::noteMissing(const std::string& worker, const worker_report& report, time_point now)
@@ -204,7 +210,7 @@
         if (!run.missingSince)
             run.missingSince = now;
         if (run.unconfirmed || (run.phase == run_phase::Active && now - *run.missingSince > missingLimit))
-            stop(run, "not at its worker");
+            stop(run, "not at its worker", now);
     }
 }
 
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -10,6 +10,13 @@
 
 // Room that is being made is free once the stopped runs are listed: 200 ms to end them, a look and two messages.
 constexpr milliseconds reservationTime { 1500 };
+// A start takes a write to the store and two messages, up to 100 ms, and progress is half a second old.
+constexpr milliseconds startMargin { 300 };
+// A guarantee is kept within 2.7 s of the acknowledgement: this leaves time for stops, the write and the start.
+constexpr milliseconds reclaimPatience { 1200 };
+// Core-seconds that urgent work is worth: it loses four fifths of its worth when late, and lost work has its price.
+constexpr double evictionBase = 500;
+constexpr double evictionPerWork = 3;
 // A sound run shows progress well within this time, also when it is seven times slower than estimated.
 constexpr milliseconds stallLimit { 2500 };
 constexpr double stallPercents = 8;
@@ -41,9 +48,10 @@
 
 std::vector<effect> scheduler_core::decide(time_point now, std::int64_t unixMs)
 {
+    m_decidedAt = now;
     beginDue(unixMs, now);
-    stopFinished();
-    stopBrokenGangs();
+    stopFinished(now);
+    stopBrokenGangs(now);
     stopLeaving(now);
     stopStragglers(now);
     place(now);
@@ -66,21 +74,21 @@
     }
 }
 
-void scheduler_core::stop(live_run& run, const std::string& reason)
+void scheduler_core::stop(live_run& run, const std::string& reason, time_point now)
 {
     run.phase = run_phase::Stopping;
-    m_effects.emplace_back(stop_effect { run.id, run.worker, reason, run.percent, run.ratePercent });
+    m_effects.emplace_back(stop_effect { run.id, run.worker, reason, run.percent, run.ratePercent, lossOf(m_state, run, now) });
 }
 
-void scheduler_core::stopUnit(const unit_id& unit, const std::string& reason)
+void scheduler_core::stopUnit(const unit_id& unit, const std::string& reason, time_point now)
 {
     for (auto& [id, run] : m_state.runs) {
         if (run.phase != run_phase::Stopping && unitOf(m_state, id.task) == unit)
-            stop(run, reason);
+            stop(run, reason, now);
     }
 }
 
-void scheduler_core::stopFinished()
+void scheduler_core::stopFinished(time_point now)
 {
     for (auto& [id, run] : m_state.runs) {
         const auto job = m_state.jobs.find(id.task.job);
@@ -88,11 +96,11 @@
             continue;
         const auto state = job->second.progress.state;
         if (state == job_state::Cancelled || state == job_state::Failed)
-            stop(run, state == job_state::Failed ? "job failed" : "job cancelled");
+            stop(run, state == job_state::Failed ? "job failed" : "job cancelled", now);
     }
 }
 
-void scheduler_core::stopBrokenGangs()
+void scheduler_core::stopBrokenGangs(time_point now)
 {
     for (auto& [id, run] : m_state.runs) {
         const auto job = m_state.jobs.find(id.task.job);
@@ -104,7 +112,7 @@
         const auto& members = job->second.progress.occurrences[id.task.occurrence].steps[id.task.step];
         const auto isAway = [](const task_progress& member) { return member.status == task_status::Waiting; };
         if (std::any_of(members.begin(), members.end(), isAway))
-            stop(run, "another member ended");
+            stop(run, "another member ended", now);
     }
 }
 
@@ -119,7 +127,7 @@
         const bool saves = job != m_state.jobs.end() && job->second.job.spec.steps[id.task.step].checkpointing;
         // Work that saves runs to the last moment; other work that can't end in time starts anew elsewhere at once.
         if (remainingOf(run) > left && (!saves || left < leaveMargin))
-            stopUnit(unitOf(m_state, id.task), "its worker leaves");
+            stopUnit(unitOf(m_state, id.task), "its worker leaves", now);
     }
 }
 
@@ -140,7 +148,7 @@
         worker.badness = badnessOf(worker, now) + slowBadness;
         worker.badnessAt = now;
         job->second.failedOn.insert(run.worker);
-        stopUnit(unitOf(m_state, id.task), stalled ? "it stands still" : "it is slow there");
+        stopUnit(unitOf(m_state, id.task), stalled ? "it stands still" : "it is slow there", now);
     }
 }
 
@@ -257,18 +265,48 @@
     return false;
 }
 
+std::optional<std::vector<std::string>> scheduler_core::findPlacesSoon(placement_request request, milliseconds within) const
+{
+    for (const auto& [id, run] : m_state.runs) {
+        if (run.phase == run_phase::Stopping || (run.phase == run_phase::Active && remainingOf(run) <= within))
+            request.freeSoon[run.worker] += run.need;
+    }
+    return findPlaces(m_state, request, m_decidedAt);
+}
+
+void scheduler_core::reserve(
+    const unit_id& unit, const std::vector<std::string>& workers, const room& need, time_point until)
+{
+    for (const auto& worker : workers)
+        m_state.workers[worker].reserved += need;
+    m_state.reservations[unit] = { workers, need, until };
+}
+
 void scheduler_core::makeRoom(const pending_unit& entry, const placement_request& request, time_point now)
 {
+    const auto& job = m_state.jobs.at(entry.unit.job);
     const bool reclaims = isWithinGuarantee(m_state, request.organisation);
+    const auto waited = std::chrono::duration_cast<milliseconds>(now - job.readySince);
+    const auto& need = request.step->need;
+
+    // Room that comes by itself in time costs nothing; a guarantee leaves less time than an objective may.
+    auto patience = slackOf(m_state, job, entry.unit, now) - startMargin;
+    if (reclaims)
+        patience = std::min(patience, reclaimPatience - waited);
+    if (patience.count() > 0) {
+        if (const auto places = findPlacesSoon(request, patience))
+            return reserve(entry.unit, *places, need, now + patience + startMargin);
+    }
     const auto plan = planEviction(m_state, request, entry.priority, reclaims, now);
     if (!plan)
         return;
+    // Without a claim on it, room is made only where more is gained than lost.
+    const bool due = reclaims && waited >= reclaimPatience;
+    if (!due && plan->cost > evictionBase + evictionPerWork * workOf(job.job.spec))
+        return;
     for (const auto& victim : plan->victims)
-        stopUnit(victim, "room for urgent work");
-    const auto need = request.step->need;
-    for (const auto& worker : plan->workers)
-        m_state.workers[worker].reserved += need;
-    m_state.reservations[entry.unit] = { plan->workers, need, now + reservationTime };
+        stopUnit(victim, "room for urgent work", now);
+    reserve(entry.unit, plan->workers, need, now + reservationTime);
 }
 
 void scheduler_core::dropReservation(const unit_id& unit)
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -265,7 +265,8 @@
 {
     oriole::logEvent(oriole::log_level::Info, "stopping",
         { { "task", toString(order.run.task) }, { "attempt", order.run.attempt }, { "agent", order.worker },
-            { "reason", order.reason }, { "percent", order.percent }, { "rate", order.ratePercent } });
+            { "reason", order.reason }, { "percent", order.percent }, { "rate", order.ratePercent },
+            { "loss_core_seconds", order.lossCoreSeconds } });
     // A start that was not sent need not be stopped.
     auto& starts = m_starts[order.run.task.job];
     const auto unsent = std::find_if(starts.begin(), starts.end(), [&](const auto& start) { return start.order.run == order.run; });
