--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -27,8 +27,12 @@
     milliseconds lease { 6000 }; ///< Lease of all that runs, from each look.
 };
 
-enum class start_outcome { Accepted, Refused, Unknown };
-enum class stop_outcome { Absent, Ending, Unanswered };
+enum class start_outcome { Accepted,
+    Refused,
+    Unknown };
+enum class stop_outcome { Absent,
+    Ending,
+    Unanswered };
 
 /// @brief Way to the scheduler that the agent obeys.
 class scheduler_link {
--- a/lib/libfleet/include/fleet/records/job_codec.hpp
+++ b/lib/libfleet/include/fleet/records/job_codec.hpp
@@ -12,12 +12,12 @@
 
 /// @brief Keys of all records. Each job has one of each kind, under its id.
 namespace record_keys {
-    inline const std::string jobs = "oriole/job/"; ///< What was accepted; never changed.
-    inline const std::string progress = "oriole/progress/"; ///< Written by the scheduler only.
-    inline const std::string status = "oriole/status/"; ///< Queue and state, for answers to callers.
-    inline const std::string cancels = "oriole/cancel/"; ///< Written by the entry that was asked.
-    inline const std::string members = "oriole/member/"; ///< Addresses of agents and entries.
-    inline const std::string scheduler = "oriole/scheduler"; ///< Who schedules, under a lease.
+inline const std::string jobs = "oriole/job/"; ///< What was accepted; never changed.
+inline const std::string progress = "oriole/progress/"; ///< Written by the scheduler only.
+inline const std::string status = "oriole/status/"; ///< Queue and state, for answers to callers.
+inline const std::string cancels = "oriole/cancel/"; ///< Written by the entry that was asked.
+inline const std::string members = "oriole/member/"; ///< Addresses of agents and entries.
+inline const std::string scheduler = "oriole/scheduler"; ///< Who schedules, under a lease.
 } // namespace record_keys
 
 /// @brief Queue and state of a job.
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -16,6 +16,8 @@
 constexpr double successFactor = 0.25;
 // The rate of a run is read over windows of this length; reports come twice a second.
 constexpr milliseconds rateWindow { 1800 };
+// Progress is rated from here on: the start and the restoring of a checkpoint take up to 800 ms.
+constexpr milliseconds settleTime { 1000 };
 
 room needOf(const step_spec& step)
 {
@@ -146,8 +148,8 @@
     run.missingSince.reset();
     if (run.phase == run_phase::Placed)
         run.phase = run_phase::Active;
-    if (!run.seen) {
-        // A run that resumes begins with the progress that was saved.
+    if (!run.seen && now - run.placedAt >= settleTime) {
+        // A run that resumes begins with the progress that was saved, once it is restored.
         run.seen = true;
         run.windowPercent = seen.percent;
         run.windowAt = now;
@@ -160,7 +162,7 @@
         run.checkpoint = seen.checkpoint;
         run.checkpointAt = now;
     }
-    if (now - run.windowAt >= rateWindow) {
+    if (run.seen && now - run.windowAt >= rateWindow) {
         run.ratePercent = (run.percent - run.windowPercent) / secondsBetween(run.windowAt, now);
         run.windowPercent = run.percent;
         run.windowAt = now;
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -142,8 +142,11 @@
         if (step.lasting || run.percent >= 100)
             continue;
         const bool stalled = isStalled(run, step, now);
-        if ((!stalled && !isSlow(run, job->second)) || !couldMove(run, now))
+        const bool slow = isSlow(run, job->second) && !job->second.movedAsSlow.contains(id.task);
+        if ((!stalled && !slow) || !couldMove(run, now))
             continue;
+        if (!stalled)
+            job->second.movedAsSlow.insert(id.task);
         auto& worker = m_state.workers[run.worker];
         worker.badness = badnessOf(worker, now) + slowBadness;
         worker.badnessAt = now;
--- a/lib/libfleet/source/http/http_listener.cpp
+++ b/lib/libfleet/source/http/http_listener.cpp
@@ -83,11 +83,10 @@
 
     void listen()
     {
-        auto listening = loop.io().provider->getNetwork().parseAddress(settings.address.c_str()).then(
-            [this](kj::Own<kj::NetworkAddress> address) {
-                receiver = address->listen();
-                return server.listenHttp(*receiver);
-            });
+        auto listening = loop.io().provider->getNetwork().parseAddress(settings.address.c_str()).then([this](kj::Own<kj::NetworkAddress> address) {
+            receiver = address->listen();
+            return server.listenHttp(*receiver);
+        });
         loop.detach("http listener", kj::mv(listening));
     }
 
@@ -113,8 +112,7 @@
                 incoming.body.assign(body.begin(), body.end());
                 auto answer = oriole::makePromiseCallback<outgoing_response>();
                 handle(std::move(incoming), std::move(answer.resolve));
-                return kj::mv(answer.promise);
-            },
+                return kj::mv(answer.promise); },
                 [](kj::Exception&& error) -> kj::Promise<outgoing_response> {
                     if (error.getType() == kj::Exception::Type::DISCONNECTED)
                         return kj::mv(error);
--- a/lib/libfleet/source/scheduler/agent_directory.cpp
+++ b/lib/libfleet/source/scheduler/agent_directory.cpp
@@ -275,7 +275,7 @@
             if (!*alive)
                 return;
             const auto outcome = answer.getOutcome();
-            done(outcome == rpc::StopOutcome::ABSENT ? stop_outcome::Absent
+            done(outcome == rpc::StopOutcome::ABSENT      ? stop_outcome::Absent
                     : outcome == rpc::StopOutcome::ENDING ? stop_outcome::Ending
                                                           : stop_outcome::Unanswered);
         },
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -241,3 +241,22 @@
         CHECK(stops[0].run.task.index == 1);
     }
 }
+
+TEST_CASE("the jump of a run that resumes from a checkpoint is no speed", "[core][stragglers]")
+{
+    core_fixture fixture;
+    for (const auto* name : { "w1", "w2", "w3" })
+        fixture.report(name, workerReport("r1"));
+    auto saving = step(2, 8, 8000);
+    saving.checkpointing = true;
+    fixture.add(job("a", "batch", { saving }));
+    REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 2);
+    const auto began = fixture.now;
+    const auto stops = passTime(fixture, { "w1", "w2", "w3" }, 9, [&](const live_run& run) {
+        const double seconds = secondsSince(began, fixture.now);
+        // The first shows the progress that it resumes from only after half a second.
+        const double saved = run.id.task.index == 0 && seconds > 0.6 ? 60 : 0;
+        return std::min(100.0, saved + seconds * 10);
+    });
+    CHECK(stops.empty());
+}
