Stalls are judged by what reports show

Change: one report a look; a gang whose members are all present has no extra patience; limit 1.6 s, two reports without progress.

--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -71,6 +71,8 @@
     time_point placedAt;
     double percent = 0;
     time_point advancedAt; ///< When percent last rose.
+    time_point reportedAt; ///< When its progress was last reported.
+    unsigned reportsSinceAdvance = 0;
     double ratePercent = 0; ///< Latest rate, percent a second; 0 while unknown.
     double windowPercent = 0; ///< Percent when the present window of the rate began.
     time_point windowAt;
--- a/lib/libfleet/include/fleet/scheduler/agent_directory.hpp
+++ b/lib/libfleet/include/fleet/scheduler/agent_directory.hpp
@@ -44,8 +44,8 @@
     void expect(const std::string& agent);
 
     void start(const std::string& agent, const worker_life& life, const start_order& order,
-        std::function<void(start_outcome, std::string)> done);
-    void stop(const std::string& agent, const worker_life& life, const run_id& run, std::function<void(stop_outcome)> done);
+        const std::function<void(start_outcome, std::string)>& done);
+    void stop(const std::string& agent, const worker_life& life, const run_id& run, const std::function<void(stop_outcome)>& done);
     void acknowledge(const std::string& agent, const worker_life& life, std::uint64_t upTo);
 
     /// @brief Looks for silent agents; call it a few times a second.
--- a/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
+++ b/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
@@ -77,6 +77,7 @@
     void sendStart(const start_effect& order);
     void sendStop(const run_id& run);
     void recorded(const std::string& job);
+    void logFinished(const std::string& id);
     void tick();
 
     environment m_outside;
@@ -89,6 +90,7 @@
     store_mirror m_cancels;
     std::map<std::string, std::vector<waiting_start>> m_starts; ///< By job; sent once they are recorded.
     std::map<std::string, end_row> m_ends; ///< By agent.
+    std::set<std::string> m_finished; ///< Jobs whose end was logged.
     std::set<run_id> m_stopping; ///< Stops without an answer yet.
     unsigned m_mirrorsLoaded = 0;
     bool m_decides = false;
--- a/lib/libfleet/source/agent/agent_server.cpp
+++ b/lib/libfleet/source/agent/agent_server.cpp
@@ -6,6 +6,7 @@
 #include <oriole/helpers/promise.hpp>
 
 #include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
 
 #include <utility>
 
@@ -85,7 +86,8 @@
         auto link = std::make_shared<rpc_scheduler_link>(m_loop, context.getParams().getScheduler());
         const bool taken = m_agent.attach(epoch, std::move(link));
         oriole::logEvent(oriole::log_level::Info, "scheduler_attached", { { "epoch", epoch }, { "taken", taken } });
-        KJ_REQUIRE(taken, "lower epoch");
+        if (!taken)
+            return KJ_EXCEPTION(FAILED, "lower epoch");
         return kj::READY_NOW;
     }
 
@@ -94,7 +96,8 @@
         m_loop.syncTime();
         const auto params = context.getParams();
         auto run = readRun(params.getRun());
-        KJ_REQUIRE(run.has_value(), "malformed task name");
+        if (!run)
+            return KJ_EXCEPTION(FAILED, "malformed task name");
         start_order order { *run, params.getText().cStr(), params.getCheckpoint().cStr() };
         auto answer = oriole::makePromiseCallback<start_result>();
         m_agent.start(params.getEpoch(), readLife(params.getLife()), std::move(order),
@@ -115,7 +118,8 @@
         m_loop.syncTime();
         const auto params = context.getParams();
         auto run = readRun(params.getRun());
-        KJ_REQUIRE(run.has_value(), "malformed task name");
+        if (!run)
+            return KJ_EXCEPTION(FAILED, "malformed task name");
         auto answer = oriole::makePromiseCallback<stop_outcome>();
         m_agent.stop(params.getEpoch(), readLife(params.getLife()), *run, answer.resolve);
         return answer.promise.then([context, run = *run](stop_outcome outcome) mutable {
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -15,8 +15,8 @@
 // Between looks while ends or stops are open, so that room that became free is seen soon.
 constexpr milliseconds shortPause { 40 };
 constexpr milliseconds failurePause { 250 };
-// Reports renew the permission to extend the lease; a third of the permission's length.
-constexpr milliseconds reportPeriod { 1100 };
+// Reports renew the permission to extend the lease and carry progress: one for each look at runs.
+constexpr milliseconds reportPeriod { 600 };
 // An order without an answer is sent again: it names its run, so that the worker carries it out once.
 constexpr unsigned maxStartTries = 3;
 constexpr milliseconds stopPause { 120 };
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -154,9 +154,12 @@
         run.windowPercent = seen.percent;
         run.windowAt = now;
     }
+    run.reportedAt = now;
+    ++run.reportsSinceAdvance;
     if (seen.percent > run.percent) {
         run.percent = seen.percent;
         run.advancedAt = now;
+        run.reportsSinceAdvance = 0;
     }
     if (!seen.checkpoint.empty() && seen.checkpoint != run.checkpoint) {
         run.checkpoint = seen.checkpoint;
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -18,8 +18,9 @@
 constexpr double evictionBase = 500;
 constexpr double evictionPerWork = 3;
 // A sound run shows progress well within this time, also when it is seven times slower than estimated.
-constexpr milliseconds stallLimit { 2500 };
+constexpr milliseconds stallLimit { 1600 };
 constexpr double stallPercents = 8;
+constexpr unsigned stallReports = 2;
 // A slow run is started elsewhere when that is this much faster.
 constexpr double moveGain = 1.6;
 constexpr double moveCostSeconds = 1;
@@ -158,9 +159,22 @@
 bool scheduler_core::isStalled(const live_run& run, const step_spec& step, time_point now) const
 {
     auto patience = stallLimit + milliseconds(static_cast<std::int64_t>(run.expectedMs / 100 * stallPercents));
-    if (step.gang && run.percent <= 0)
+    // A gang begins when the last member has come; until then it does not stand still.
+    if (step.gang && run.percent <= 0 && !isGangPresent(run))
         patience += m_settings.gangTimeout;
-    return now - run.advancedAt > patience;
+    // Only what reports show counts: while none come, the run may well go on.
+    return run.reportsSinceAdvance >= stallReports && run.reportedAt - run.advancedAt > patience
+        && now - run.reportedAt < stallLimit;
+}
+
+bool scheduler_core::isGangPresent(const live_run& run) const
+{
+    return std::all_of(m_state.runs.begin(), m_state.runs.end(), [&](const auto& entry) {
+        const auto& [id, other] = entry;
+        const bool member = id.task.job == run.id.task.job && id.task.occurrence == run.id.task.occurrence
+            && id.task.step == run.id.task.step;
+        return !member || (other.phase == run_phase::Active && other.seen);
+    });
 }
 
 /// A run is slow when it needs much longer than others of its step did, or far longer than estimated.
--- a/lib/libfleet/source/http/http_client.cpp
+++ b/lib/libfleet/source/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include <fleet/http/http_client.hpp>
 
+#include <kj/debug.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
--- a/lib/libfleet/source/scheduler/agent_directory.cpp
+++ b/lib/libfleet/source/scheduler/agent_directory.cpp
@@ -5,6 +5,7 @@
 #include <oriole/helpers/log.hpp>
 
 #include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -62,7 +63,8 @@
 
     kj::Promise<void> report(ReportContext context) override
     {
-        KJ_REQUIRE(m_decides(), "this scheduler may have been replaced");
+        if (!m_decides())
+            return KJ_EXCEPTION(FAILED, "this scheduler may have been replaced");
         m_reported(readReport(context.getParams().getReport()));
         return kj::READY_NOW;
     }
@@ -230,7 +232,7 @@
 }
 
 void agent_directory::start(const std::string& agent, const worker_life& life, const start_order& order,
-    std::function<void(start_outcome, std::string)> done)
+    const std::function<void(start_outcome, std::string)>& done)
 {
     const auto entry = m_rows.find(agent);
     if (entry == m_rows.end() || entry->second.connection == nullptr)
@@ -260,7 +262,8 @@
 }
 
 void agent_directory::stop(
-    const std::string& agent, const worker_life& life, const run_id& run, std::function<void(stop_outcome)> done)
+    const std::string& agent, const worker_life& life, const run_id& run,
+    const std::function<void(stop_outcome)>& done)
 {
     const auto entry = m_rows.find(agent);
     if (entry == m_rows.end() || entry->second.connection == nullptr)
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -281,6 +281,7 @@
 
 void fleet_scheduler::recorded(const std::string& job)
 {
+    logFinished(job);
     auto waiting = std::exchange(m_starts[job], {});
     for (const auto& start : waiting) {
         if (start.covered)
@@ -294,6 +295,18 @@
         acknowledgeEnds(agent);
 }
 
+void fleet_scheduler::logFinished(const std::string& id)
+{
+    const auto* job = m_core.findJob(id);
+    if (job == nullptr || !isFinal(job->progress.state) || !m_finished.insert(id).second)
+        return;
+    const auto rule = ruleOf(m_core.state(), *job);
+    const auto age = std::chrono::duration_cast<milliseconds>(m_outside.loop.timers().now() - job->acceptedAt);
+    oriole::logEvent(oriole::log_level::Info, "job_finished",
+        { { "job", id }, { "queue", job->job.queue }, { "priority", rule.priority }, { "state", toString(job->progress.state) },
+            { "age_ms", age.count() }, { "objective_ms", objectiveOf(job->job.spec, rule).count() } });
+}
+
 void fleet_scheduler::sendStart(const start_effect& order)
 {
     const auto& runs = m_core.state().runs;
