--- a/lib/libfleet/include/fleet/entry/control_view.hpp
+++ b/lib/libfleet/include/fleet/entry/control_view.hpp
@@ -17,6 +17,7 @@
     std::set<std::string> domainsOut;
     record_condition condition; ///< Holds as long as the configuration is the newest.
     oriole::time_point provenAt; ///< When the last read began that showed it to be the newest.
+    bool failing = false; ///< The last try to read it failed.
     bool known = false; ///< False until a configuration was read.
 };
 
--- a/lib/libfleet/include/fleet/entry/fleet_entry.hpp
+++ b/lib/libfleet/include/fleet/entry/fleet_entry.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <fleet/entry/control_view.hpp>
+#include <fleet/entry/entry_peers.hpp>
 #include <fleet/scheduler/fleet_scheduler.hpp>
 #include <fleet/scheduler/leadership.hpp>
 
@@ -20,9 +21,11 @@
         control_source& control;
         oriole::metrics_registry& metrics;
         std::function<time_point()> clock; ///< Also counts while the machine is suspended.
+        entry_peers& peers;
     };
 
-    fleet_entry(environment outside, const std::string& name, scheduler_settings settings);
+    /// @param address Where other entries reach this one.
+    fleet_entry(environment outside, const std::string& name, const std::string& address, scheduler_settings settings);
     ~fleet_entry();
     fleet_entry(const fleet_entry&) = delete;
     fleet_entry& operator=(const fleet_entry&) = delete;
@@ -32,6 +35,9 @@
     /// @brief The operators' orders have changed.
     void controlChanged();
 
+    /// @brief An agent told its address here because it can't write it into the store.
+    void announce(const std::string& agent, const std::string& address);
+
     /// @brief Hands the scheduling over, for a planned stop.
     void resign(std::function<void()> done);
 
@@ -41,12 +47,16 @@
     void won(std::uint64_t epoch);
     void lost();
     void startScheduler();
+    void announceSelf();
 
     environment m_outside;
     scheduler_settings m_settings;
     leadership m_leadership;
     store_mirror m_schedulerRecord;
     store_mirror m_agents;
+    store_mirror m_entries;
+    std::string m_name;
+    std::string m_address;
     std::unique_ptr<fleet_scheduler> m_scheduler;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/lib/libfleet/include/fleet/entry/job_desk.hpp
+++ b/lib/libfleet/include/fleet/entry/job_desk.hpp
@@ -46,7 +46,6 @@
 
 private:
     void takeStatus(const record_change& change);
-    void readBack(const accepted_job& job, std::function<void(intake)> done);
 
     record_store& m_store;
     store_mirror m_status;
--- a/lib/libfleet/include/fleet/store/record_store.hpp
+++ b/lib/libfleet/include/fleet/store/record_store.hpp
@@ -60,6 +60,7 @@
     std::vector<record_condition> conditions;
     std::vector<record_write> writes;
     std::vector<std::string> removals;
+    milliseconds patience { 0 }; ///< The answer is waited for so long; 0 for the client's own limit.
 };
 
 struct commit_outcome {
--- /dev/null
+++ b/lib/libfleet/source/entry/entry_peers.cpp
@@ -0,0 +1,218 @@
+#include <fleet/entry/entry_peers.hpp>
+
+#include <fleet.capnp.h>
+
+#include <oriole/helpers/log.hpp>
+#include <oriole/helpers/promise.hpp>
+
+#include <capnp/rpc-twoparty.h>
+#include <kj/debug.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <utility>
+
+namespace fleet {
+
+namespace {
+
+// A peer answers within two round trips of 16 ms and one to the store; more means that it is in trouble too.
+constexpr milliseconds peerTimeout { 700 };
+constexpr milliseconds connectTimeout { 300 };
+constexpr std::size_t maxPeers = 3;
+constexpr unsigned userTimeoutMs = 2000;
+
+class entry_service final : public rpc::Entry::Server {
+public:
+    explicit entry_service(entry_host& host)
+        : m_host(host)
+    {
+    }
+
+    kj::Promise<void> relay(RelayContext context) override
+    {
+        const auto in = context.getParams().getRequest();
+        relayed_call call { in.getMethod().cStr(), in.getTarget().cStr(), in.getHost().cStr(), in.getKey().cStr(),
+            in.getBody().cStr() };
+        auto answer = oriole::makePromiseCallback<std::shared_ptr<relayed_answer>>();
+        m_host.serve(call, [resolve = answer.resolve](relayed_answer served) {
+            resolve(std::make_shared<relayed_answer>(std::move(served)));
+        });
+        return answer.promise.then([context](std::shared_ptr<relayed_answer> served) mutable {
+            auto out = context.getResults();
+            out.setStatus(static_cast<std::uint16_t>(served->status));
+            out.setBody(served->body);
+            out.setRetryAfterSeconds(static_cast<std::uint16_t>(served->retryAfterSeconds));
+        });
+    }
+
+    kj::Promise<void> announce(AnnounceContext context) override
+    {
+        m_host.announce(context.getParams().getAgent().cStr(), context.getParams().getAddress().cStr());
+        return kj::READY_NOW;
+    }
+
+private:
+    entry_host& m_host;
+};
+
+} // namespace
+
+struct entry_server::state {
+    explicit state(entry_host& host)
+        : server(kj::heap<entry_service>(host))
+    {
+    }
+
+    capnp::TwoPartyServer server;
+    kj::Own<kj::ConnectionReceiver> receiver;
+};
+
+entry_server::entry_server(oriole::event_loop& loop, entry_host& host, const std::string& address)
+    : m_state(std::make_unique<state>(host))
+{
+    auto listening = loop.io().provider->getNetwork().parseAddress(address.c_str()).then([this](kj::Own<kj::NetworkAddress> parsed) {
+        m_state->receiver = parsed->listen();
+        return m_state->server.listen(*m_state->receiver);
+    });
+    loop.detach("entry server", kj::mv(listening));
+}
+
+entry_server::~entry_server() = default;
+
+/// @brief A connection to one entry; the promise behind it is shared by all calls.
+struct entry_peers::peer {
+    explicit peer(kj::Promise<kj::Own<kj::AsyncIoStream>> opening)
+        : stream(kj::newPromisedStream(kj::mv(opening)))
+        , client(*stream)
+        , entry(client.bootstrap().castAs<rpc::Entry>())
+    {
+    }
+
+    kj::Own<kj::AsyncIoStream> stream;
+    capnp::TwoPartyClient client;
+    rpc::Entry::Client entry;
+};
+
+struct entry_peers::relay_state {
+    relayed_call call;
+    std::vector<std::string> addresses;
+    std::function<void(std::optional<relayed_answer>)> done;
+};
+
+entry_peers::entry_peers(oriole::event_loop& loop)
+    : m_loop(loop)
+{
+}
+
+entry_peers::~entry_peers()
+{
+    *m_alive = false;
+}
+
+void entry_peers::add(const std::string& address)
+{
+    m_peers.try_emplace(address);
+}
+
+void entry_peers::remove(const std::string& address)
+{
+    m_peers.erase(address);
+}
+
+std::shared_ptr<entry_peers::peer> entry_peers::connected(const std::string& address)
+{
+    auto& known = m_peers[address];
+    if (known != nullptr)
+        return known;
+    auto limit = m_loop.after(connectTimeout).then([]() -> kj::Own<kj::AsyncIoStream> {
+        kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "connect timeout"));
+    });
+    auto opening = m_loop.io().provider->getNetwork().parseAddress(address.c_str()).then([](kj::Own<kj::NetworkAddress> parsed) {
+        return parsed->connect().attach(kj::mv(parsed));
+    });
+    auto guarded = opening.exclusiveJoin(kj::mv(limit)).then([](kj::Own<kj::AsyncIoStream> stream) {
+        const unsigned limitMs = userTimeoutMs;
+        stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs, sizeof(limitMs));
+        return stream;
+    });
+    known = std::make_shared<peer>(kj::mv(guarded));
+    return known;
+}
+
+void entry_peers::relay(relayed_call call, std::function<void(std::optional<relayed_answer>)> done)
+{
+    auto state = std::make_shared<relay_state>();
+    state->call = std::move(call);
+    state->done = std::move(done);
+    for (const auto& [address, known] : m_peers) {
+        // Those that answered before come first.
+        if (known != nullptr)
+            state->addresses.insert(state->addresses.begin(), address);
+        else
+            state->addresses.push_back(address);
+    }
+    if (state->addresses.size() > maxPeers)
+        state->addresses.resize(maxPeers);
+    tryNext(std::move(state));
+}
+
+void entry_peers::tryNext(std::shared_ptr<relay_state> state)
+{
+    if (state->addresses.empty())
+        return state->done(std::nullopt);
+    const auto address = state->addresses.front();
+    state->addresses.erase(state->addresses.begin());
+    const auto connection = connected(address);
+    auto request = connection->entry.relayRequest();
+    auto out = request.initRequest();
+    out.setMethod(state->call.method);
+    out.setTarget(state->call.target);
+    out.setHost(state->call.host);
+    out.setKey(state->call.key);
+    out.setBody(state->call.body);
+    auto answer = request.send().then([](capnp::Response<rpc::Entry::RelayResults> response) {
+        return std::make_shared<relayed_answer>(
+            relayed_answer { response.getStatus(), response.getBody().cStr(), response.getRetryAfterSeconds() });
+    });
+    auto limit = m_loop.after(peerTimeout).then([]() -> std::shared_ptr<relayed_answer> {
+        kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "the peer did not answer in time"));
+    });
+    auto settled = answer.exclusiveJoin(kj::mv(limit))
+                       .then(
+                           [this, state, alive = m_alive](std::shared_ptr<relayed_answer> served) {
+                               // A peer that can't serve it either leaves it to the next.
+                               if (*alive && served->status == 503 && !state->addresses.empty())
+                                   return tryNext(state);
+                               state->done(*served);
+                           },
+                           [this, state, address, connection, alive = m_alive](kj::Exception&& error) {
+                               oriole::logEvent(oriole::log_level::Info, "peer_failed",
+                                   { { "peer", address }, { "error", error.getDescription().cStr() } });
+                               if (!*alive)
+                                   return;
+                               if (const auto known = m_peers.find(address); known != m_peers.end() && known->second == connection)
+                                   known->second.reset();
+                               tryNext(state);
+                           });
+    m_loop.detach("relay", settled.attach(connection));
+}
+
+void entry_peers::announce(const std::string& agent, const std::string& address)
+{
+    for (const auto& [peerAddress, known] : m_peers) {
+        const auto connection = connected(peerAddress);
+        auto request = connection->entry.announceRequest();
+        request.setAgent(agent);
+        request.setAddress(address);
+        auto sent = request.send().ignoreResult().catch_([this, peerAddress = peerAddress, connection, alive = m_alive](kj::Exception&&) {
+            if (!*alive)
+                return;
+            if (const auto entry = m_peers.find(peerAddress); entry != m_peers.end() && entry->second == connection)
+                entry->second.reset();
+        });
+        m_loop.detach("announce", sent.attach(connection));
+    }
+}
+
+} // namespace fleet
--- a/lib/libfleet/source/entry/fleet_entry.cpp
+++ b/lib/libfleet/source/entry/fleet_entry.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 const std::string agentsPrefix = record_keys::members + "agent/";
+const std::string entriesPrefix = record_keys::members + "entry/";
+constexpr milliseconds announceRetry { 500 };
 
 std::string agentOf(const std::string& key)
 {
@@ -24,13 +26,17 @@
     return agentsPrefix + agent;
 }
 
-fleet_entry::fleet_entry(environment outside, const std::string& name, scheduler_settings settings)
+fleet_entry::fleet_entry(
+    environment outside, const std::string& name, const std::string& address, scheduler_settings settings)
     : m_outside(std::move(outside))
     , m_settings(settings)
     , m_leadership(m_outside.store, m_outside.loop.timers(), m_outside.clock, name,
           { [this](std::uint64_t epoch) { won(epoch); }, [this](const std::string&) { lost(); } })
     , m_schedulerRecord(m_outside.store, m_outside.loop.timers(), record_keys::scheduler)
     , m_agents(m_outside.store, m_outside.loop.timers(), agentsPrefix)
+    , m_entries(m_outside.store, m_outside.loop.timers(), entriesPrefix)
+    , m_name(name)
+    , m_address(address)
 {
 }
 
@@ -52,9 +58,44 @@
         },
         {});
     m_schedulerRecord.start([this](const record_change& change) { m_leadership.recordChanged(!change.removed); }, {});
+    m_entries.start(
+        [this](const record_change& change) {
+            if (!change.removed && change.item.value != m_address)
+                m_outside.peers.add(change.item.value);
+        },
+        {});
+    announceSelf();
     m_leadership.start();
 }
 
+void fleet_entry::announceSelf()
+{
+    record_transaction announcement;
+    announcement.writes = { { entriesPrefix + m_name, m_address } };
+    m_outside.store.commit(std::move(announcement), [this, alive = m_alive](const result<commit_outcome>& outcome) {
+        if (!*alive || outcome)
+            return;
+        m_outside.loop.timers().subscribeOnce(announceRetry, [this, alive](time_point) {
+            if (*alive)
+                announceSelf();
+        });
+    });
+}
+
+void fleet_entry::announce(const std::string& agent, const std::string& address)
+{
+    if (m_scheduler != nullptr)
+        m_scheduler->announce(agent, address);
+    const auto known = m_agents.records().find(agentKey(agent));
+    if (known != m_agents.records().end() && known->second.value == address)
+        return;
+    record_transaction announcement;
+    announcement.writes = { { agentKey(agent), address } };
+    m_outside.store.commit(std::move(announcement), [agent](const result<commit_outcome>& outcome) {
+        oriole::logEvent(oriole::log_level::Info, "agent_announced", { { "agent", agent }, { "written", outcome.has_value() } });
+    });
+}
+
 void fleet_entry::won(std::uint64_t epoch)
 {
     fleet_scheduler::environment outside { m_outside.loop, m_outside.store, m_outside.metrics, m_outside.clock,
--- a/lib/libfleet/source/entry/job_desk.cpp
+++ b/lib/libfleet/source/entry/job_desk.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A caller waits 3 s in all, and another entry may still be asked: the store takes 300 ms when it is slow.
+constexpr milliseconds callerPatience { 700 };
+
 intake compare(const record& stored, const accepted_job& job)
 {
     const auto known = decodeJob(stored.value);
@@ -51,6 +54,7 @@
 {
     record_transaction transaction;
     transaction.conditions = { { record_keys::jobs + job.id, 0 }, control };
+    transaction.patience = callerPatience;
     const auto status = encodeStatus({ job.queue, job_state::Queued });
     transaction.writes = { { record_keys::jobs + job.id, encodeJob(job) }, { record_keys::status + job.id, status } };
     m_store.commit(std::move(transaction),
@@ -58,7 +62,7 @@
             if (!outcome && outcome.error().ran == oriole::verdict::NotRun)
                 return done(intake::NotAccepted);
             if (!outcome)
-                return readBack(job, done);
+                return done(intake::MayBeAccepted);
             if (outcome.value().applied) {
                 m_status.apply({ record_keys::status + job.id, status, outcome.value().revision });
                 return done(intake::Accepted);
@@ -71,16 +75,6 @@
         });
 }
 
-/// A write that was not answered may have been made; when it can't be seen, it may still be made later.
-void job_desk::readBack(const accepted_job& job, std::function<void(intake)> done)
-{
-    m_store.get(record_keys::jobs + job.id, [job, done = std::move(done)](const result<record>& found) {
-        if (found && found.value().revision != 0)
-            return done(compare(found.value(), job));
-        done(intake::MayBeAccepted);
-    });
-}
-
 void job_desk::find(const std::string& id, std::function<void(result<std::optional<job_status>>)> done)
 {
     if (const auto known = m_states.find(id); known != m_states.end()) {
@@ -111,6 +105,7 @@
         // Without a condition: a second cancel changes nothing.
         record_transaction transaction;
         transaction.writes = { { record_keys::cancels + id, "{}" } };
+        transaction.patience = callerPatience;
         m_store.commit(std::move(transaction), [this, id, status, done](const result<commit_outcome>& outcome) {
             if (!outcome)
                 return done(outcome.error());
--- a/main/oriolefleetd/source/agent_process.cpp
+++ b/main/oriolefleetd/source/agent_process.cpp
@@ -38,7 +38,10 @@
               [this](const fleet::worker_heartbeat& worker) { return std::make_unique<platform::runtime_adapter>(m_loop, worker); })
         , m_heartbeats(m_loop, settings.heartbeatAddress, m_agent)
         , m_server(m_loop, m_agent, settings.rpcAddress)
+        , m_entries(m_loop)
     {
+        for (const auto& seed : settings.seeds)
+            m_entries.add(seed);
     }
 
     int run()
@@ -62,6 +65,8 @@
         announcement.writes = { { fleet::agentKey(m_settings.name), m_settings.rpcAddress } };
         m_store.commit(std::move(announcement), [this](const oriole::result<fleet::commit_outcome>& outcome) {
             if (!outcome) {
+                // An entry that the store serves passes the address on.
+                m_entries.announce(m_settings.name, m_settings.rpcAddress);
                 oriole::logEvent(oriole::log_level::Warning, "announcement_failed", { { "reason", outcome.error().reason } });
             }
             announceLater(outcome ? announcePeriod : announceRetry);
@@ -79,6 +84,7 @@
     fleet::worker_agent m_agent;
     platform::heartbeat_api m_heartbeats;
     fleet::agent_server m_server;
+    fleet::entry_peers m_entries;
 };
 
 } // namespace
--- a/main/oriolefleetd/source/entry_process.cpp
+++ b/main/oriolefleetd/source/entry_process.cpp
@@ -37,20 +37,27 @@
 }
 
 /// @brief Everything that an entry is made of.
-class entry_process {
+class entry_process final : private fleet::entry_host {
 public:
     explicit entry_process(const platform::node_settings& settings)
         : m_settings(settings)
         , m_store(m_loop, settings.storeAddress)
         , m_control(m_store, m_loop.timers(), bootClock, settings.failureDomains)
         , m_desk(m_store, m_loop.timers())
-        , m_entry({ m_loop, m_store, m_control, m_metrics, bootClock }, settings.name, schedulerSettings(settings))
-        , m_api({ m_loop, m_desk, m_control, m_metrics, bootClock, viewFreshness })
+        , m_peers(m_loop)
+        , m_entry({ m_loop, m_store, m_control, m_metrics, bootClock, m_peers }, settings.name, settings.rpcAddress,
+              schedulerSettings(settings))
+        , m_api({ m_loop, m_desk, m_control, m_peers, m_metrics, bootClock, viewFreshness })
+        , m_server(m_loop, *this, settings.rpcAddress)
         , m_callers(m_loop, { settings.callerAddress, { "X-Key", "X-Deadline-Ms" }, 1U << 20U },
               [this](const fleet::incoming_request& request, const auto& respond) { m_api.handle(request, respond); })
         , m_ready(m_loop, { settings.readyAddress, {}, 1024 },
               [this](const fleet::incoming_request&, const auto& respond) { respond({ isReady() ? 200U : 503U, "{}", {} }); })
     {
+        for (const auto& seed : settings.seeds) {
+            if (seed != settings.rpcAddress)
+                m_peers.add(seed);
+        }
     }
 
     int run()
@@ -67,6 +74,13 @@
     }
 
 private:
+    void serve(const fleet::relayed_call& call, std::function<void(fleet::relayed_answer)> done) override
+    {
+        m_api.serveRelayed(call, std::move(done));
+    }
+
+    void announce(const std::string& agent, const std::string& address) override { m_entry.announce(agent, address); }
+
     bool isReady() const
     {
         return !m_stopping && m_desk.ready() && m_control.view().known
@@ -92,8 +106,10 @@
     platform::store_adapter m_store;
     platform::operator_channel m_control;
     fleet::job_desk m_desk;
+    fleet::entry_peers m_peers;
     fleet::fleet_entry m_entry;
     platform::caller_api m_api;
+    fleet::entry_server m_server;
     fleet::http_listener m_callers;
     fleet::http_listener m_ready;
     bool m_stopping = false;
