A unit gives way to urgent work twice, then only to a guarantee

Change: an eviction costs more the more often a unit gave way, and from the third on only a guarantee takes its place. Test: new case, fails without the limit.

--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -50,6 +50,7 @@
     bool cancelled = false; ///< Its caller has cancelled it.
     time_point readySince; ///< When a unit of it last became ready.
     std::map<unsigned, double> fastestMs; ///< By step: shortest run time that progress has shown, near its data.
+    std::map<unit_id, unsigned> evictions; ///< How often a unit gave way to urgent work.
     std::set<task_id> movedAsSlow; ///< A task is moved once: one that is slow again is slow by itself.
     std::set<std::string> failedOn; ///< Workers on which a run of it ended as failed.
 };
--- a/lib/libfleet/source/core/eviction.cpp
+++ b/lib/libfleet/source/core/eviction.cpp
@@ -15,6 +15,9 @@
     std::map<std::string, room> freed; ///< By worker.
 };
 
+// A unit gives way so often; then only a guarantee takes its place, so that it ends some day.
+constexpr unsigned maxEvictions = 2;
+
 using victim_table = std::map<unit_id, victim>;
 
 bool mayEvict(const tables& state, const job_row& job, unsigned priority, bool reclaims)
@@ -32,8 +35,13 @@
         const auto job = state.jobs.find(id.task.job);
         if (job == state.jobs.end() || run.phase == run_phase::Stopping || !mayEvict(state, job->second, priority, reclaims))
             continue;
-        auto& entry = victims[unitOf(state, id.task)];
-        entry.cost += lossOf(state, run, now);
+        const auto unit = unitOf(state, id.task);
+        const auto past = job->second.evictions.find(unit);
+        const unsigned times = past == job->second.evictions.end() ? 0 : past->second;
+        if (times >= maxEvictions && !reclaims)
+            continue;
+        auto& entry = victims[unit];
+        entry.cost += lossOf(state, run, now) * (1 + times);
         entry.freed[run.worker] += run.need;
     }
     return victims;
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -321,8 +321,10 @@
     const bool due = reclaims && waited >= reclaimPatience;
     if (!due && plan->cost > evictionBase + evictionPerWork * workOf(job.job.spec))
         return;
-    for (const auto& victim : plan->victims)
+    for (const auto& victim : plan->victims) {
+        ++m_state.jobs.at(victim.job).evictions[victim];
         stopUnit(victim, "room for urgent work", now);
+    }
     reserve(entry.unit, plan->workers, need, now + reservationTime);
 }
 
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -260,3 +260,38 @@
     });
     CHECK(stops.empty());
 }
+
+TEST_CASE("a unit gives way to urgent work twice, then only to a guarantee", "[core][eviction]")
+{
+    core_fixture fixture;
+    const auto worker = workerReport("r1");
+    fixture.report("w1", worker);
+    fixture.add(job("batch", "batch", { step(1, 8) }));
+    for (int round = 0; round < 2; ++round) {
+        fixture.decide();
+        const auto name = "urgent" + std::to_string(round);
+        fixture.add(job(name, "urgent", { step(1, 8) }));
+        const auto stops = core_fixture::only<stop_effect>(fixture.decide());
+        REQUIRE(stops.size() == 1);
+        fixture.end("w1", worker, stops[0].run, run_end::Stopped);
+        const auto starts = core_fixture::only<start_effect>(fixture.decide());
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].run.task.job == name);
+        fixture.end("w1", worker, starts[0].run, run_end::Done);
+    }
+    fixture.decide();
+    auto late = job("urgent2", "urgent", { step(1, 8) });
+    late.organisation = "holder";
+    fixture.add(late);
+    SECTION("without a guarantee it stays")
+    {
+        CHECK(fixture.decide().empty());
+    }
+    SECTION("a guarantee takes its place")
+    {
+        auto rules = fixture.core.state().rules;
+        rules.organisations = { { "holder", {}, 8 } };
+        fixture.core.configure(rules);
+        CHECK(core_fixture::only<stop_effect>(fixture.decide()).size() == 1);
+    }
+}
