Cheaper decisions; a run whose record took long is not missed

Change: progress alone waits for the tick; guarantees once a decision; victims indexed by worker; room looked for ten times a second; a run is missing only once it was active.

--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -81,7 +81,7 @@
     void lookLater(milliseconds delay);
     void sendReport();
     void sendStart(start_order order, unsigned tries, std::function<void(start_outcome, std::string)> done);
-    void sendStop(std::shared_ptr<stop_request> request);
+    void sendStop(const std::shared_ptr<stop_request>& request);
     void settleStops(const look_answer& answer);
     [[nodiscard]] std::int64_t workerClock() const;
 
--- a/lib/libfleet/include/fleet/core/eviction.hpp
+++ b/lib/libfleet/include/fleet/core/eviction.hpp
@@ -20,11 +20,8 @@
 std::optional<eviction_plan> planEviction(
     const tables& state, const placement_request& request, unsigned priority, bool reclaims, time_point now);
 
-/// @brief Accelerators that all unfinished jobs of priority 0 of an organisation ask for.
-std::int64_t guaranteedDemand(const tables& state, const std::string& organisation);
-
-/// @brief Whether all unfinished jobs of priority 0 of an organisation fit into its guarantee.
-bool isWithinGuarantee(const tables& state, const std::string& organisation);
+/// @brief Organisations whose unfinished jobs of priority 0 all fit into their guarantee.
+std::set<std::string> findWithinGuarantee(const tables& state);
 
 /// @brief Core-seconds that are lost when a run is stopped now.
 double lossOf(const tables& state, const live_run& run, time_point now);
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -55,6 +55,8 @@
 
     /// @brief Takes what an agent says. Ends are applied; runs of another life of the worker are lost.
     void takeReport(const std::string& worker, const worker_report& report, time_point now);
+    /// @brief Whether a report can change a decision, other than by the progress it shows.
+    [[nodiscard]] bool isNews(const std::string& worker, const worker_report& report) const;
     void setUnreachable(const std::string& worker);
 
     /// @brief Whatever ran on the worker has certainly ended.
@@ -110,6 +112,7 @@
     core_settings m_settings;
     tables m_state;
     time_point m_decidedAt;
+    std::map<unit_id, time_point> m_roomTriedAt; ///< When room for a unit was last looked for in vain.
     std::set<std::string> m_changed;
     std::vector<effect> m_effects;
 };
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -97,6 +97,7 @@
     std::map<run_id, live_run> runs;
     std::map<unit_id, reservation> reservations;
     std::set<std::string> domainsOut;
+    std::set<std::string> withinGuarantee; ///< Organisations whose unfinished urgent jobs fit into their guarantee.
     configuration rules;
 };
 
--- a/lib/libfleet/include/fleet/entry/entry_peers.hpp
+++ b/lib/libfleet/include/fleet/entry/entry_peers.hpp
@@ -77,7 +77,7 @@
     struct peer;
     struct relay_state;
 
-    void tryNext(std::shared_ptr<relay_state> state);
+    void tryNext(const std::shared_ptr<relay_state>& state);
     std::shared_ptr<peer> connected(const std::string& address);
 
     oriole::event_loop& m_loop;
--- a/lib/libfleet/source/agent/agent_server.cpp
+++ b/lib/libfleet/source/agent/agent_server.cpp
@@ -107,7 +107,7 @@
                         { "outcome", static_cast<int>(outcome) }, { "reason", reason } });
                 resolve({ outcome, std::move(reason) });
             });
-        return answer.promise.then([context](start_result result) mutable {
+        return answer.promise.then([context](const start_result& result) mutable {
             context.getResults().setOutcome(toWire(result.outcome));
             context.getResults().setReason(result.reason);
         });
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -270,10 +270,10 @@
     request->life = life;
     request->began = m_clock();
     request->done = std::move(done);
-    sendStop(std::move(request));
+    sendStop(request);
 }
 
-void worker_agent::sendStop(std::shared_ptr<stop_request> request)
+void worker_agent::sendStop(const std::shared_ptr<stop_request>& request)
 {
     if (request->life != m_worker.worker.life)
         return request->done(stop_outcome::Absent);
--- a/lib/libfleet/source/core/eviction.cpp
+++ b/lib/libfleet/source/core/eviction.cpp
@@ -1,7 +1,6 @@
 #include <fleet/core/eviction.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace fleet {
 
@@ -25,7 +24,7 @@
     const auto victimPriority = ruleOf(state, job).priority;
     if (victimPriority > priority)
         return true;
-    return victimPriority == 0 && priority == 0 && reclaims && !isWithinGuarantee(state, job.job.organisation);
+    return victimPriority == 0 && priority == 0 && reclaims && !state.withinGuarantee.contains(job.job.organisation);
 }
 
 victim_table collectVictims(const tables& state, unsigned priority, bool reclaims, time_point now)
@@ -58,6 +57,21 @@
     return leaving;
 }
 
+using victims_by_worker = std::map<std::string, std::vector<std::pair<double, unit_id>>>;
+
+/// @brief Units on each worker, the cheapest first.
+victims_by_worker indexVictims(const victim_table& victims)
+{
+    victims_by_worker index;
+    for (const auto& [unit, entry] : victims) {
+        for (const auto& [worker, freed] : entry.freed)
+            index[worker].emplace_back(entry.cost, unit);
+    }
+    for (auto& [worker, units] : index)
+        std::sort(units.begin(), units.end());
+    return index;
+}
+
 /// @brief Workers of one group with the room that the plan so far gives them.
 struct plan_state {
     std::map<std::string, room> free;
@@ -65,59 +79,70 @@
     eviction_plan plan;
 };
 
-void evict(plan_state& state, const unit_id& unit, const victim& chosen)
+/// @brief What has to go so that one more task fits on a worker.
+struct worker_choice {
+    std::string worker;
+    std::vector<unit_id> victims;
+    double cost = 0;
+};
+
+/// @return No value when the task never fits there.
+std::optional<worker_choice> chooseVictims(const plan_state& state, const std::string& worker, const room& need,
+    const victim_table& victims, const victims_by_worker& index)
 {
-    state.plan.victims.insert(unit);
-    state.plan.cost += chosen.cost;
-    for (const auto& [worker, freed] : chosen.freed) {
-        if (const auto entry = state.free.find(worker); entry != state.free.end())
-            entry->second += freed;
+    worker_choice choice { worker, {}, 0 };
+    auto free = state.free.at(worker);
+    const auto here = index.find(worker);
+    if (here != index.end()) {
+        for (const auto& [cost, unit] : here->second) {
+            if (need.fits(free))
+                break;
+            if (state.plan.victims.contains(unit))
+                continue;
+            free += victims.at(unit).freed.at(worker);
+            choice.victims.push_back(unit);
+            choice.cost += cost;
+        }
     }
+    if (!need.fits(free))
+        return std::nullopt;
+    return choice;
 }
 
-/// @brief Evicts the cheapest units on @p worker until @p need fits.
-/// @return No value when it never fits.
-std::optional<plan_state> fitOne(
-    plan_state state, const std::string& worker, const room& need, const victim_table& victims)
+void apply(plan_state& state, const worker_choice& choice, const room& need, const victim_table& victims)
 {
-    std::vector<std::pair<double, unit_id>> here;
-    for (const auto& [unit, entry] : victims) {
-        if (entry.freed.contains(worker) && !state.plan.victims.contains(unit))
-            here.emplace_back(entry.cost, unit);
-    }
-    std::sort(here.begin(), here.end());
-    for (const auto& [cost, unit] : here) {
-        if (need.fits(state.free[worker]))
-            break;
-        evict(state, unit, victims.at(unit));
+    for (const auto& unit : choice.victims) {
+        state.plan.victims.insert(unit);
+        for (const auto& [worker, freed] : victims.at(unit).freed) {
+            if (const auto entry = state.free.find(worker); entry != state.free.end())
+                entry->second += freed;
+        }
     }
-    if (!need.fits(state.free[worker]))
-        return std::nullopt;
-    state.free[worker] -= need;
-    ++state.taken[worker];
-    state.plan.workers.push_back(worker);
-    return state;
+    state.plan.cost += choice.cost;
+    state.plan.workers.push_back(choice.worker);
+    state.free[choice.worker] -= need;
+    ++state.taken[choice.worker];
 }
 
-std::optional<eviction_plan> planGroup(
-    const plan_state& start, const placement_request& request, const victim_table& victims)
+std::optional<eviction_plan> planGroup(plan_state state, const placement_request& request, const victim_table& victims,
+    const victims_by_worker& index)
 {
-    auto current = start;
+    const auto& need = request.step->need;
+    const auto limit = request.step->antiAffinity;
     for (unsigned task = 0; task < request.tasks; ++task) {
-        std::optional<plan_state> best;
-        for (const auto& [worker, free] : start.free) {
-            const auto limit = request.step->antiAffinity;
-            if (limit != 0 && current.taken[worker] >= limit)
+        std::optional<worker_choice> best;
+        for (const auto& [worker, free] : state.free) {
+            if (limit != 0 && state.taken[worker] >= limit)
                 continue;
-            auto next = fitOne(current, worker, request.step->need, victims);
-            if (next && (!best || next->plan.cost < best->plan.cost))
-                best = std::move(next);
+            auto choice = chooseVictims(state, worker, need, victims, index);
+            if (choice && (!best || choice->cost < best->cost))
+                best = std::move(choice);
         }
         if (!best)
             return std::nullopt;
-        current = std::move(*best);
+        apply(state, *best, need, victims);
     }
-    return current.plan;
+    return state.plan;
 }
 
 } // namespace
@@ -126,6 +151,7 @@
     const tables& state, const placement_request& request, unsigned priority, bool reclaims, time_point now)
 {
     const auto victims = collectVictims(state, priority, reclaims, now);
+    const auto index = indexVictims(victims);
     const auto leaving = leavingRoom(state);
     const bool oneRack = request.step->gang && request.step->sameRack;
     std::map<std::string, plan_state> groups;
@@ -143,32 +169,28 @@
     }
     std::optional<eviction_plan> best;
     for (const auto& [rack, group] : groups) {
-        auto plan = planGroup(group, request, victims);
+        auto plan = planGroup(group, request, victims, index);
         if (plan && (!best || plan->cost < best->cost))
             best = std::move(plan);
     }
     return best;
 }
 
-std::int64_t guaranteedDemand(const tables& state, const std::string& organisation)
+std::set<std::string> findWithinGuarantee(const tables& state)
 {
-    std::int64_t sum = 0;
+    std::map<std::string, std::int64_t> demand;
     for (const auto& [id, job] : state.jobs) {
-        if (job.job.organisation != organisation || isFinal(job.progress.state) || ruleOf(state, job).priority != 0)
+        if (isFinal(job.progress.state) || ruleOf(state, job).priority != 0)
             continue;
         for (const auto& step : job.job.spec.steps)
-            sum += step.need.accelerators * static_cast<std::int64_t>(step.count);
+            demand[job.job.organisation] += step.need.accelerators * static_cast<std::int64_t>(step.count);
     }
-    return sum;
-}
-
-bool isWithinGuarantee(const tables& state, const std::string& organisation)
-{
+    std::set<std::string> within;
     for (const auto& rule : state.rules.organisations) {
-        if (rule.name == organisation)
-            return guaranteedDemand(state, organisation) <= rule.guaranteedAccelerators;
+        if (demand[rule.name] <= rule.guaranteedAccelerators)
+            within.insert(rule.name);
     }
-    return false;
+    return within;
 }
 
 double lossOf(const tables& state, const live_run& run, time_point now)
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -104,6 +104,13 @@
     return job == m_state.jobs.end() ? nullptr : &job->second;
 }
 
+bool scheduler_core::isNews(const std::string& worker, const worker_report& report) const
+{
+    const auto known = m_state.workers.find(worker);
+    return known == m_state.workers.end() || !report.ended.empty() || report.gone
+        || known->second.reachable != report.responsive || known->second.about != report.worker;
+}
+
 void scheduler_core::takeReport(const std::string& worker, const worker_report& report, time_point now)
 {
     auto& row = m_state.workers[worker];
@@ -212,7 +219,7 @@
     for (auto& [id, run] : m_state.runs) {
         if (run.worker != worker || run.phase == run_phase::Stopping || isListed(id))
             continue;
-        if (!run.missingSince)
+        if (!run.missingSince && run.phase == run_phase::Active)
             run.missingSince = now;
         if (run.unconfirmed || (run.phase == run_phase::Active && now - *run.missingSince > missingLimit))
             stop(run, "not at its worker", now);
@@ -255,6 +262,7 @@
     auto& started = found->second;
     started.phase = run_phase::Active;
     started.unconfirmed = false;
+    started.missingSince.reset();
     started.advancedAt = started.windowAt = started.checkpointAt = now;
 }
 
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -10,6 +10,8 @@
 
 // Room that is being made is free once the stopped runs are listed: 200 ms to end them, a look and two messages.
 constexpr milliseconds reservationTime { 1500 };
+// Looking for room is the dearest decision; little changes in less time.
+constexpr milliseconds roomRetry { 100 };
 // A start takes a write to the store and two messages, up to 100 ms, and progress is half a second old.
 constexpr milliseconds startMargin { 300 };
 // A guarantee is kept within 2.7 s of the acknowledgement: this leaves time for stops, the write and the start.
@@ -264,6 +266,8 @@
         if (m_state.reservations.at(unit).until <= now)
             dropReservation(unit);
     }
+    std::erase_if(m_roomTriedAt, [now](const auto& entry) { return now - entry.second > reservationTime; });
+    m_state.withinGuarantee = findWithinGuarantee(m_state);
     for (const auto& entry : collectPending(now))
         placeUnit(entry, now);
 }
@@ -274,11 +278,17 @@
     const auto request = requestFor(job, entry.unit, now);
     if (const auto places = findPlaces(m_state, request, now)) {
         dropReservation(entry.unit);
+        m_roomTriedAt.erase(entry.unit);
         startUnit(job, entry.unit, *places, now);
         return true;
     }
-    if (entry.priority == 0 && !m_state.reservations.contains(entry.unit))
+    if (entry.priority != 0 || m_state.reservations.contains(entry.unit))
+        return false;
+    const auto tried = m_roomTriedAt.find(entry.unit);
+    if (tried == m_roomTriedAt.end() || now - tried->second >= roomRetry) {
+        m_roomTriedAt[entry.unit] = now;
         makeRoom(entry, request, now);
+    }
     return false;
 }
 
@@ -302,7 +312,7 @@
 void scheduler_core::makeRoom(const pending_unit& entry, const placement_request& request, time_point now)
 {
     const auto& job = m_state.jobs.at(entry.unit.job);
-    const bool reclaims = isWithinGuarantee(m_state, request.organisation);
+    const bool reclaims = m_state.withinGuarantee.contains(request.organisation);
     const auto waited = std::chrono::duration_cast<milliseconds>(now - job.readySince);
     const auto& need = request.step->need;
 
--- a/lib/libfleet/source/entry/entry_peers.cpp
+++ b/lib/libfleet/source/entry/entry_peers.cpp
@@ -38,7 +38,7 @@
         m_host.serve(call, [resolve = answer.resolve](relayed_answer served) {
             resolve(std::make_shared<relayed_answer>(std::move(served)));
         });
-        return answer.promise.then([context](std::shared_ptr<relayed_answer> served) mutable {
+        return answer.promise.then([context](const std::shared_ptr<relayed_answer>& served) mutable {
             auto out = context.getResults();
             out.setStatus(static_cast<std::uint16_t>(served->status));
             out.setBody(served->body);
@@ -154,10 +154,10 @@
     }
     if (state->addresses.size() > maxPeers)
         state->addresses.resize(maxPeers);
-    tryNext(std::move(state));
+    tryNext(state);
 }
 
-void entry_peers::tryNext(std::shared_ptr<relay_state> state)
+void entry_peers::tryNext(const std::shared_ptr<relay_state>& state)
 {
     if (state->addresses.empty())
         return state->done(std::nullopt);
@@ -180,7 +180,7 @@
     });
     auto settled = answer.exclusiveJoin(kj::mv(limit))
                        .then(
-                           [this, state, alive = m_alive](std::shared_ptr<relayed_answer> served) {
+                           [this, state, alive = m_alive](const std::shared_ptr<relayed_answer>& served) {
                                // A peer that can't serve it either leaves it to the next.
                                if (*alive && served->status == 503 && !state->addresses.empty())
                                    return tryNext(state);
--- a/lib/libfleet/source/http/http_client.cpp
+++ b/lib/libfleet/source/http/http_client.cpp
@@ -114,20 +114,21 @@
     struct exchange_state {
         http_request request;
         std::shared_ptr<pool> connections;
+        handler done;
         bool timedOut = false;
     };
-    auto state = std::make_shared<exchange_state>(exchange_state { std::move(request), m_pool });
+    auto state = std::make_shared<exchange_state>(exchange_state { std::move(request), m_pool, std::move(done) });
     auto answer = kj::evalLater([this, state] { return send(state->connections, state->request); });
     auto limit = m_loop.after(state->request.deadline).then([state]() -> http_response {
         state->timedOut = true;
         kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "deadline passed"));
     });
     auto finished = answer.exclusiveJoin(kj::mv(limit))
-                        .then([done, state](http_response response) { done(std::move(response)); },
-                            [this, done, state](kj::Exception&& error) {
+                        .then([state](http_response response) { state->done(std::move(response)); },
+                            [this, state](kj::Exception&& error) {
                                 if (state->timedOut && m_pool == state->connections)
                                     m_pool = std::make_shared<pool>(m_loop, m_address);
-                                done(state->timedOut ? mayHaveRun(failure_kind::Timeout, "deadline passed") : describe(error));
+                                state->done(state->timedOut ? mayHaveRun(failure_kind::Timeout, "deadline passed") : describe(error));
                             });
     m_loop.detach("http exchange", finished.attach(std::move(state)));
 }
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -184,6 +184,7 @@
                     { "agent", agent } });
         }
     }
+    const bool news = m_core.isNews(agent, report);
     m_core.takeReport(agent, report, m_outside.loop.timers().now());
     noteEnds(agent, report);
     for (const auto& job : m_core.takeChanged())
@@ -194,7 +195,9 @@
         if (run.worker == agent && run.phase == run_phase::Stopping && !m_stopping.contains(id))
             sendStop(id);
     }
-    decideSoon();
+    // Progress alone is looked at with the next tick.
+    if (news)
+        decideSoon();
 }
 
 void fleet_scheduler::noteEnds(const std::string& agent, const worker_report& report)
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -295,3 +295,19 @@
         CHECK(core_fixture::only<stop_effect>(fixture.decide()).size() == 1);
     }
 }
+
+TEST_CASE("a run whose record took long is not missed by reports from before its start", "[core]")
+{
+    core_fixture fixture;
+    fixture.report("w1", workerReport("r1"));
+    fixture.add(job("a", "batch", { step(1, 1) }));
+    const auto starts = core_fixture::only<start_effect>(fixture.core.decide(fixture.now, 0));
+    REQUIRE(starts.size() == 1);
+    for (int i = 0; i < 8; ++i) {
+        fixture.now += milliseconds(500);
+        fixture.core.takeReport("w1", workerReport("r1"), fixture.now);
+    }
+    fixture.core.startAccepted(starts[0].run, fixture.now);
+    fixture.core.takeReport("w1", workerReport("r1"), fixture.now);
+    CHECK(fixture.decide().empty());
+}
