A silent worker's lease is not extended, so that it is known to be gone

Cause (found by the new agent test, red before): looks that were not answered carried new deadlines, so what ran on a worker that went dark for good never counted as ended.

--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -139,7 +139,8 @@
     m_looking = true;
     const auto number = ++m_lookNumber;
     look_request request { m_epoch, m_noted, std::nullopt, wait };
-    const bool extends = permitted() && m_clockMs > 0;
+    // A worker that may be gone is not given more time: what ran there is known to have ended when its lease has.
+    const bool extends = permitted() && m_clockMs > 0 && m_failedLooks < looksUntilSilent;
     if (extends)
         request.deadlineMs = workerClock() + m_timing.lease.count();
     m_runtime->look(request, [this, number, extends, runtime = m_runtime, alive = m_alive](result<look_answer> answer) {
@@ -230,6 +231,8 @@
         return done(start_outcome::Refused, "another life of the worker");
     if (m_worker.worker.draining)
         return done(start_outcome::Refused, "the worker drains");
+    if (m_failedLooks >= looksUntilSilent)
+        return done(start_outcome::Refused, "the worker is silent");
     order.epoch = epoch;
     sendStart(std::move(order), 1, std::move(done));
 }
--- /dev/null
+++ b/tests/fleet/fake_store.hpp
@@ -0,0 +1,170 @@
+/// @file
+/// @brief A record store in memory. Answers are held until the test lets them go, lost, or refused.
+#pragma once
+
+#include <fleet/store/record_store.hpp>
+
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace fleet::test {
+
+class fake_store final : public record_store {
+public:
+    /// @brief What becomes of the next writes.
+    enum class fate {
+        Answered,
+        Lost, ///< Made, and not answered.
+        Late, ///< Not answered, and made when `makeLate` is called, if its conditions hold then.
+        Refused,
+    };
+
+    void get(std::string key, handler<record> done) override
+    {
+        ++calls;
+        answer([this, key, done = std::move(done)] {
+            if (down)
+                return done(oriole::notRun(oriole::failure_kind::Unavailable, "down"));
+            done(find(key));
+        });
+    }
+
+    void range(std::string prefix, std::string afterKey, handler<record_page> done) override
+    {
+        answer([this, prefix, afterKey, done = std::move(done)] {
+            if (down)
+                return done(oriole::notRun(oriole::failure_kind::Unavailable, "down"));
+            record_page page;
+            page.revision = revision;
+            for (const auto& [key, item] : records) {
+                if (key.starts_with(prefix) && key > afterKey && page.records.size() < pageSize)
+                    page.records.push_back(item);
+            }
+            page.more = page.records.size() == pageSize;
+            done(page);
+        });
+    }
+
+    void watch(std::string prefix, revision_number after, milliseconds, handler<change_page> done) override
+    {
+        watches.push_back({ std::move(prefix), after, std::move(done) });
+    }
+
+    void commit(record_transaction transaction, handler<commit_outcome> done) override
+    {
+        ++calls;
+        const auto chosen = std::exchange(next, fate::Answered);
+        if (down || chosen == fate::Refused)
+            return answer([done = std::move(done)] { done(oriole::notRun(oriole::failure_kind::Unavailable, "refused")); });
+        if (chosen == fate::Answered) {
+            const auto outcome = make(transaction);
+            return answer([outcome, done = std::move(done)] { done(outcome); });
+        }
+        if (chosen == fate::Lost)
+            make(transaction);
+        else
+            late.push_back(std::move(transaction));
+        answer([done = std::move(done)] { done(oriole::mayHaveRun(oriole::failure_kind::Timeout, "no answer")); });
+    }
+
+    void grantLease(milliseconds, handler<std::int64_t> done) override
+    {
+        answer([done = std::move(done)] { done(std::int64_t { 7 }); });
+    }
+    void renewLease(std::int64_t, handler<bool> done) override
+    {
+        answer([this, done = std::move(done)] { done(leaseStands); });
+    }
+    void endLease(std::int64_t, handler<bool> done) override
+    {
+        answer([done = std::move(done)] { done(true); });
+    }
+
+    /// @brief Gives all answers that are due, and those that follow from them.
+    void run()
+    {
+        while (!m_answers.empty()) {
+            const auto due = std::exchange(m_answers, {});
+            for (const auto& one : due)
+                one();
+        }
+    }
+
+    void makeLate()
+    {
+        for (const auto& transaction : std::exchange(late, {}))
+            make(transaction);
+    }
+
+    void put(const std::string& key, const std::string& value) { make({ {}, { { key, value, 0 } }, {} }); }
+
+    /// @brief Answers all waiting watches with what has changed since, or says that history is gone.
+    void answerWatches(bool compacted = false)
+    {
+        for (auto& waiting : std::exchange(watches, {})) {
+            change_page page;
+            page.compacted = compacted;
+            page.revision = revision;
+            for (const auto& change : history) {
+                if (change.item.revision > waiting.after && change.item.key.starts_with(waiting.prefix))
+                    page.changes.push_back(change);
+            }
+            waiting.done(page);
+        }
+        run();
+    }
+
+    struct waiting_watch {
+        std::string prefix;
+        revision_number after = 0;
+        handler<change_page> done;
+    };
+
+    std::map<std::string, record> records;
+    std::vector<record_change> history;
+    std::vector<waiting_watch> watches;
+    std::vector<record_transaction> late;
+    revision_number revision = 100;
+    fate next = fate::Answered;
+    bool down = false;
+    bool leaseStands = true;
+    std::size_t pageSize = 500;
+    unsigned calls = 0;
+
+private:
+    void answer(std::function<void()> one) { m_answers.push_back(std::move(one)); }
+
+    record find(const std::string& key) const
+    {
+        const auto found = records.find(key);
+        return found == records.end() ? record { key, {}, 0 } : found->second;
+    }
+
+    commit_outcome make(const record_transaction& transaction)
+    {
+        commit_outcome outcome;
+        outcome.applied = true;
+        for (const auto& condition : transaction.conditions) {
+            outcome.current.push_back(find(condition.key));
+            outcome.applied = outcome.applied && outcome.current.back().revision == condition.revision;
+        }
+        if (!outcome.applied)
+            return outcome;
+        outcome.revision = ++revision;
+        for (const auto& write : transaction.writes) {
+            records[write.key] = { write.key, write.value, revision };
+            history.push_back({ records[write.key], false });
+        }
+        for (const auto& key : transaction.removals) {
+            records.erase(key);
+            history.push_back({ { key, {}, revision }, true });
+        }
+        return outcome;
+    }
+
+    std::vector<std::function<void()>> m_answers;
+};
+
+} // namespace fleet::test
--- /dev/null
+++ b/tests/fleet/store_test.cpp
@@ -0,0 +1,259 @@
+#include "core_fixture.hpp"
+#include "fake_store.hpp"
+
+#include <fleet/entry/job_desk.hpp>
+#include <fleet/records/job_codec.hpp>
+#include <fleet/scheduler/leadership.hpp>
+#include <fleet/scheduler/progress_writer.hpp>
+#include <fleet/store/store_mirror.hpp>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+using namespace fleet;
+using namespace fleet::test;
+
+TEST_CASE("a mirror loads by page, follows changes, and loads again when history is gone", "[store]")
+{
+    fake_store store;
+    store.pageSize = 2;
+    oriole::timer_service timers(start);
+    for (const auto* key : { "a/1", "a/2", "a/3", "b/1" })
+        store.put(key, "x");
+    store_mirror mirror(store, timers, "a/");
+    unsigned changes = 0;
+    mirror.start([&](const record_change&) { ++changes; }, {});
+    store.run();
+    REQUIRE(mirror.loaded());
+    CHECK(mirror.records().size() == 3);
+
+    store.put("a/4", "y");
+    store.answerWatches();
+    CHECK(mirror.records().size() == 4);
+
+    store.records.erase("a/1");
+    store.history.clear();
+    store.answerWatches(true);
+    CHECK(mirror.records().size() == 3);
+    CHECK_FALSE(mirror.records().contains("a/1"));
+    CHECK(changes == 5);
+}
+
+TEST_CASE("a mirror asks again while the store is down", "[store]")
+{
+    fake_store store;
+    oriole::timer_service timers(start);
+    store.put("a/1", "x");
+    store.down = true;
+    store_mirror mirror(store, timers, "a/");
+    mirror.start({}, {});
+    store.run();
+    CHECK_FALSE(mirror.loaded());
+    store.down = false;
+    timers.advance(start + milliseconds(300));
+    store.run();
+    CHECK(mirror.loaded());
+}
+
+namespace {
+
+struct writer_fixture {
+    writer_fixture()
+    {
+        store.put(record_keys::scheduler, "me");
+        epoch = store.revision;
+        writer = std::make_unique<progress_writer>(store, timers, [this] { return timers.now(); }, epoch,
+            progress_writer::handlers {
+                [this](const std::string&) { return progress_writer::source { &progress, "q" }; },
+                [this](const std::string&) { ++recorded; },
+                [this](const std::string&) { deposed = true; },
+                [](time_point) {},
+            });
+    }
+
+    void pass(milliseconds time)
+    {
+        timers.advance(timers.now() + time);
+        store.run();
+    }
+
+    fake_store store;
+    oriole::timer_service timers { start };
+    revision_number epoch = 0;
+    job_progress progress;
+    unsigned recorded = 0;
+    bool deposed = false;
+    std::unique_ptr<progress_writer> writer;
+};
+
+} // namespace
+
+TEST_CASE("progress is clean only when its write was answered, also after a lost answer", "[store][progress]")
+{
+    writer_fixture fixture;
+    const auto lost = GENERATE(fake_store::fate::Lost, fake_store::fate::Late, fake_store::fate::Refused);
+    fixture.store.next = lost;
+    fixture.progress.state = job_state::Running;
+    fixture.writer->change("j");
+    fixture.pass(milliseconds(1));
+    CHECK_FALSE(fixture.writer->isClean("j"));
+    CHECK(fixture.recorded == 0);
+
+    for (int i = 0; i < 5; ++i)
+        fixture.pass(milliseconds(200));
+    CHECK(fixture.writer->isClean("j"));
+    CHECK(fixture.recorded == 1);
+    CHECK_FALSE(fixture.deposed);
+
+    // What is made late finds its condition broken and changes nothing.
+    fixture.progress.state = job_state::Completed;
+    fixture.writer->change("j");
+    fixture.pass(milliseconds(1));
+    fixture.store.makeLate();
+    const auto stored = decodeProgress(fixture.store.records.at(record_keys::progress + "j").value);
+    REQUIRE(stored);
+    CHECK(stored->state == job_state::Completed);
+}
+
+TEST_CASE("a scheduler that was replaced records nothing more", "[store][progress]")
+{
+    writer_fixture fixture;
+    fixture.store.put(record_keys::scheduler, "another");
+    fixture.writer->change("j");
+    fixture.pass(milliseconds(1));
+    CHECK(fixture.deposed);
+    CHECK_FALSE(fixture.store.records.contains(record_keys::progress + "j"));
+}
+
+TEST_CASE("one of two entries schedules, the other follows when the record is gone", "[store][leadership]")
+{
+    fake_store store;
+    oriole::timer_service timers(start);
+    const auto clock = [&] { return timers.now(); };
+    unsigned firstWon = 0;
+    unsigned secondWon = 0;
+    unsigned firstLost = 0;
+    leadership first(store, timers, clock, "e1", { [&](std::uint64_t) { ++firstWon; }, [&](const std::string&) { ++firstLost; } });
+    leadership second(store, timers, clock, "e2", { [&](std::uint64_t) { ++secondWon; }, [](const std::string&) {} });
+    SECTION("an answer that is lost after the claim was made is read back")
+    {
+        store.next = fake_store::fate::Lost;
+    }
+    SECTION("plain")
+    {
+    }
+    first.start();
+    store.run();
+    second.start();
+    store.run();
+    CHECK(firstWon == 1);
+    CHECK(secondWon == 0);
+
+    store.leaseStands = false;
+    store.records.erase(record_keys::scheduler);
+    timers.advance(start + milliseconds(600));
+    store.run();
+    CHECK(firstLost == 1);
+    second.recordChanged(false);
+    timers.advance(start + milliseconds(2000));
+    store.run();
+    CHECK(firstWon + secondWon == 2);
+}
+
+TEST_CASE("a job is stored once, whoever hands it in and whatever answer is lost", "[store][intake]")
+{
+    fake_store store;
+    oriole::timer_service timers(start);
+    store.put("control", "1");
+    const record_condition control { "control", store.revision };
+    job_desk desk(store, timers);
+    desk.start();
+    store.run();
+    auto submitted = job("0123456789abcdef", "batch", { step(1, 1) });
+    submitted.bodyDigest = 5;
+    std::optional<intake> outcome;
+    const auto submit = [&](accepted_job what) {
+        outcome.reset();
+        desk.submit(std::move(what), control, [&](intake given) { outcome = given; });
+        store.run();
+    };
+
+    SECTION("again with the same body: accepted; with another body: refused")
+    {
+        submit(submitted);
+        CHECK(outcome == intake::Accepted);
+        submit(submitted);
+        CHECK(outcome == intake::Accepted);
+        submitted.bodyDigest = 6;
+        submit(submitted);
+        CHECK(outcome == intake::OtherBody);
+        CHECK(desk.pending("batch") == 1);
+    }
+    SECTION("a lost answer is left open, a refusal is a refusal")
+    {
+        store.next = fake_store::fate::Lost;
+        submit(submitted);
+        CHECK(outcome == intake::MayBeAccepted);
+        submit(submitted);
+        CHECK(outcome == intake::Accepted);
+        submitted.id = "fedcba9876543210";
+        store.next = fake_store::fate::Refused;
+        submit(submitted);
+        CHECK(outcome == intake::NotAccepted);
+        CHECK_FALSE(store.records.contains(record_keys::jobs + submitted.id));
+    }
+    SECTION("a configuration that changed meanwhile: nothing is stored")
+    {
+        store.put("control", "2");
+        submit(submitted);
+        CHECK(outcome == intake::NotCurrent);
+        CHECK_FALSE(store.records.contains(record_keys::jobs + submitted.id));
+    }
+    SECTION("a cancelled job is shown as cancelled at once, an unknown one is not there")
+    {
+        submit(submitted);
+        std::optional<job_state> state;
+        desk.cancel(submitted.id, [&](const auto& given) { state = given.value(); });
+        store.run();
+        CHECK(state == job_state::Cancelled);
+        CHECK(store.records.contains(record_keys::cancels + submitted.id));
+        desk.cancel("ffffffffffffffff", [&](const auto& given) { state = given.value(); });
+        store.run();
+        CHECK_FALSE(state);
+    }
+}
+
+TEST_CASE("records are read as they were written", "[records]")
+{
+    rc::prop("progress", [] {
+        job_progress progress;
+        progress.state = static_cast<job_state>(*rc::gen::inRange(0, 5));
+        const auto tasks = *rc::gen::inRange(1, 6);
+        auto& steps = progress.occurrences.emplace_back().steps.emplace_back();
+        for (int i = 0; i < tasks; ++i) {
+            task_progress task;
+            task.status = static_cast<task_status>(*rc::gen::inRange(0, 3));
+            task.attempt = *rc::gen::inRange(0U, 9U);
+            task.failures = *rc::gen::inRange(0U, 9U);
+            if (task.status == task_status::Live) {
+                task.worker = "w";
+                task.life = { "i", *rc::gen::inRange<std::int64_t>(0, 1'000'000) };
+                task.checkpoint = *rc::gen::element<std::string>("", "0a");
+            }
+            steps.push_back(task);
+        }
+        RC_ASSERT(decodeProgress(encodeProgress(progress)) == progress);
+    });
+    auto described = job("0123456789abcdef", "batch", { step(3, 2), step(1, 0) });
+    described.spec.steps[1].after = { 0 };
+    described.spec.steps[1].affinityRack = "r1";
+    described.spec.text = "bytes \xff that are no text";
+    const auto again = decodeJob(encodeJob(described));
+    REQUIRE(again);
+    CHECK(again->spec.steps == described.spec.steps);
+    for (const auto* text : { "", "{", "[]", "7", R"({"id":3})", R"({"state":"odd","occurrences":[]})" }) {
+        CHECK_FALSE(decodeJob(text));
+        CHECK_FALSE(decodeProgress(text));
+        CHECK_FALSE(decodeStatus(text));
+    }
+}
--- /dev/null
+++ b/tests/fleet/worker_agent_test.cpp
@@ -0,0 +1,254 @@
+#include "core_fixture.hpp"
+
+#include <fleet/agent/worker_agent.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace fleet;
+using namespace fleet::test;
+
+namespace {
+
+/// @brief What the agent asked of its worker; the test answers.
+struct runtime_record {
+    std::vector<std::pair<start_order, backend_runtime::handler<start_answer>>> starts;
+    std::vector<std::pair<run_id, backend_runtime::handler<bool>>> stops;
+    std::vector<std::pair<look_request, backend_runtime::handler<look_answer>>> looks;
+};
+
+class fake_runtime final : public backend_runtime {
+public:
+    explicit fake_runtime(runtime_record& record)
+        : m_record(record)
+    {
+    }
+
+    void start(const start_order& order, handler<start_answer> done) override
+    {
+        m_record.starts.emplace_back(order, std::move(done));
+    }
+    void stop(const run_id& run, std::uint64_t, handler<bool> done) override
+    {
+        m_record.stops.emplace_back(run, std::move(done));
+    }
+    void look(const look_request& request, handler<look_answer> done) override
+    {
+        m_record.looks.emplace_back(request, std::move(done));
+    }
+
+private:
+    runtime_record& m_record;
+};
+
+class fake_link final : public scheduler_link {
+public:
+    void report(const worker_report& report, std::function<void(bool)> answered) override
+    {
+        reports.push_back(report);
+        if (answers)
+            answered(true);
+    }
+
+    std::vector<worker_report> reports;
+    bool answers = true;
+};
+
+struct agent_fixture {
+    agent_fixture()
+        : agent(timers, [this] { return timers.now(); }, {},
+              [this](const worker_heartbeat&) { return std::make_unique<fake_runtime>(record); })
+    {
+        agent.takeHeartbeat(heartbeat);
+        agent.attach(5, link);
+        answerLook();
+    }
+
+    static worker_heartbeat makeHeartbeat()
+    {
+        return { workerReport("r1").worker, "127.0.0.1:1", 1 };
+    }
+
+    void pass(int ms) { timers.advance(timers.now() + milliseconds(ms)); }
+
+    void answerLook(std::vector<active_run> active = {}, std::vector<ended_run> ended = {})
+    {
+        const auto done = record.looks.back().second;
+        done(look_answer { {}, 1000, std::move(active), std::move(ended) });
+    }
+
+    start_outcome start(const std::vector<result<start_answer>>& answers, std::uint64_t epoch = 5)
+    {
+        std::optional<start_outcome> outcome;
+        agent.start(epoch, heartbeat.worker.life, { run, "text", "" }, [&](start_outcome given, const std::string&) { outcome = given; });
+        for (const auto& answer : answers) {
+            REQUIRE_FALSE(record.starts.empty());
+            const auto done = record.starts.back().second;
+            done(answer);
+        }
+        REQUIRE(outcome);
+        return *outcome;
+    }
+
+    oriole::timer_service timers { test::start };
+    runtime_record record;
+    std::shared_ptr<fake_link> link = std::make_shared<fake_link>();
+    worker_heartbeat heartbeat = makeHeartbeat();
+    run_id run { { "j", 0, 0, 0 }, 1 };
+    worker_agent agent;
+};
+
+const auto accepted = result<start_answer>(start_answer { true, {} });
+const auto refused = result<start_answer>(start_answer { false, "room" });
+const auto lost = result<start_answer>(oriole::mayHaveRun(oriole::failure_kind::Timeout, "no answer"));
+
+} // namespace
+
+TEST_CASE("a start without an answer is sent again and is never called refused after that", "[agent]")
+{
+    agent_fixture fixture;
+    CHECK(fixture.start({ accepted }) == start_outcome::Accepted);
+    CHECK(fixture.start({ refused }) == start_outcome::Refused);
+    CHECK(fixture.start({ lost, accepted }) == start_outcome::Accepted);
+    CHECK(fixture.start({ lost, refused }) == start_outcome::Unknown);
+    CHECK(fixture.start({ lost, lost, lost }) == start_outcome::Unknown);
+}
+
+TEST_CASE("an agent starts nothing for a lower epoch, without permission, or on a worker that drains", "[agent]")
+{
+    agent_fixture fixture;
+    CHECK(fixture.start({}, 4) == start_outcome::Refused);
+    SECTION("the scheduler has not answered for longer than the permission lasts")
+    {
+        fixture.link->answers = false;
+        fixture.pass(4100);
+        CHECK(fixture.start({}) == start_outcome::Refused);
+    }
+    SECTION("the worker drains")
+    {
+        auto leaving = fixture.heartbeat;
+        leaving.worker.draining = true;
+        leaving.sequence = 2;
+        fixture.agent.takeHeartbeat(leaving);
+        CHECK(fixture.start({}) == start_outcome::Refused);
+        CHECK(fixture.link->reports.back().worker.draining);
+    }
+    SECTION("an older scheduler attaches")
+    {
+        CHECK_FALSE(fixture.agent.attach(4, fixture.link));
+        CHECK(fixture.start({ accepted }) == start_outcome::Accepted);
+    }
+    CHECK(fixture.record.starts.size() <= 1);
+}
+
+TEST_CASE("the lease is extended only while the scheduler answers", "[agent]")
+{
+    agent_fixture fixture;
+    CHECK(fixture.record.looks.back().first.deadlineMs);
+    fixture.link->answers = false;
+    for (int i = 0; i < 6; ++i) {
+        fixture.pass(800);
+        fixture.answerLook();
+    }
+    CHECK_FALSE(fixture.record.looks.back().first.deadlineMs);
+}
+
+TEST_CASE("a stop tells that a run is absent only by a look begun after the worker's answer", "[agent]")
+{
+    agent_fixture fixture;
+    std::optional<stop_outcome> outcome;
+    fixture.agent.stop(5, fixture.heartbeat.worker.life, fixture.run, [&](stop_outcome given) { outcome = given; });
+    const auto before = fixture.record.looks.size();
+    const auto old = fixture.record.looks.back().second;
+    fixture.record.stops.back().second(true);
+    CHECK(fixture.record.looks.size() == before + 1);
+    old(look_answer { {}, 1000, {}, {} });
+    CHECK_FALSE(outcome);
+    SECTION("not listed: absent")
+    {
+        fixture.answerLook();
+        CHECK(outcome == stop_outcome::Absent);
+    }
+    SECTION("listed: its end will be told")
+    {
+        fixture.answerLook({ { fixture.run, {}, 10 } });
+        CHECK(outcome == stop_outcome::Ending);
+    }
+    SECTION("the worker does not answer: it is asked again")
+    {
+        std::optional<stop_outcome> second;
+        fixture.agent.stop(5, fixture.heartbeat.worker.life, fixture.run, [&](stop_outcome given) { second = given; });
+        const auto asked = fixture.record.stops.size();
+        const auto done = fixture.record.stops.back().second;
+        done(oriole::mayHaveRun(oriole::failure_kind::Timeout, "no answer"));
+        fixture.pass(200);
+        CHECK(fixture.record.stops.size() == asked + 1);
+        CHECK_FALSE(second);
+    }
+}
+
+TEST_CASE("ends are reported until they are recorded, and only then forgotten", "[agent]")
+{
+    agent_fixture fixture;
+    fixture.pass(10);
+    fixture.answerLook({}, { { 1, fixture.run, run_end::Done, {} } });
+    CHECK(fixture.link->reports.back().ended.size() == 1);
+    fixture.pass(100);
+    CHECK(fixture.record.looks.back().first.noted == 0);
+    fixture.agent.acknowledge(5, { "another", 9 }, 1);
+    fixture.answerLook({}, { { 1, fixture.run, run_end::Done, {} } });
+    fixture.pass(100);
+    CHECK(fixture.record.looks.back().first.noted == 0);
+    fixture.agent.acknowledge(5, fixture.heartbeat.worker.life, 1);
+    fixture.answerLook({}, { { 1, fixture.run, run_end::Done, {} } });
+    fixture.pass(100);
+    CHECK(fixture.record.looks.back().first.noted == 1);
+}
+
+TEST_CASE("late heartbeats and older lives are not believed; a new life starts anew", "[agent]")
+{
+    agent_fixture fixture;
+    auto late = fixture.heartbeat;
+    late.sequence = 0;
+    CHECK_FALSE(fixture.agent.takeHeartbeat(late));
+    auto older = fixture.heartbeat;
+    older.worker.life.bornUnixMs = 0;
+    older.sequence = 50;
+    CHECK_FALSE(fixture.agent.takeHeartbeat(older));
+    auto anew = fixture.heartbeat;
+    anew.worker.life.bornUnixMs = 2;
+    anew.sequence = 1;
+    CHECK(fixture.agent.takeHeartbeat(anew));
+    CHECK(fixture.start({}) == start_outcome::Refused);
+    std::optional<stop_outcome> outcome;
+    fixture.agent.stop(5, fixture.heartbeat.worker.life, fixture.run, [&](stop_outcome given) { outcome = given; });
+    CHECK(outcome == stop_outcome::Absent);
+}
+
+TEST_CASE("a worker that refuses connections, or was silent for longer than the lease, is gone", "[agent]")
+{
+    agent_fixture fixture;
+    const auto fail = [&](oriole::failure_kind kind) {
+        const auto done = fixture.record.looks.back().second;
+        done(oriole::notRun(kind, "no answer"));
+        fixture.pass(300);
+    };
+    SECTION("nobody listens")
+    {
+        fail(oriole::failure_kind::NotFound);
+        CHECK_FALSE(fixture.link->reports.back().gone);
+        fail(oriole::failure_kind::NotFound);
+        CHECK(fixture.link->reports.back().gone);
+    }
+    SECTION("silent")
+    {
+        for (int i = 0; i < 10; ++i)
+            fail(oriole::failure_kind::Timeout);
+        CHECK_FALSE(fixture.link->reports.back().responsive);
+        CHECK_FALSE(fixture.link->reports.back().gone);
+        for (int i = 0; i < 14; ++i)
+            fail(oriole::failure_kind::Timeout);
+        CHECK(fixture.link->reports.back().gone);
+    }
+}
