--- a/lib/libfleet/include/fleet/entry/entry_peers.hpp
+++ b/lib/libfleet/include/fleet/entry/entry_peers.hpp
@@ -82,6 +82,7 @@
 
     oriole::event_loop& m_loop;
     std::map<std::string, std::shared_ptr<peer>> m_peers;
+    std::map<std::string, oriole::time_point> m_failedAt;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/lib/libfleet/source/entry/entry_peers.cpp
+++ b/lib/libfleet/source/entry/entry_peers.cpp
@@ -19,6 +19,8 @@
 // A peer answers within two round trips of 16 ms and one to the store; more means that it is in trouble too.
 constexpr milliseconds peerTimeout { 700 };
 constexpr milliseconds connectTimeout { 300 };
+// A peer that failed is left alone so long: one that is gone costs each call a connect timeout.
+constexpr milliseconds failureMemory { 3000 };
 constexpr std::size_t maxPeers = 3;
 constexpr unsigned userTimeoutMs = 2000;
 
@@ -145,7 +147,11 @@
     auto state = std::make_shared<relay_state>();
     state->call = std::move(call);
     state->done = std::move(done);
+    const auto now = m_loop.timers().now();
     for (const auto& [address, known] : m_peers) {
+        const auto failed = m_failedAt.find(address);
+        if (failed != m_failedAt.end() && now - failed->second < failureMemory)
+            continue;
         // Those that answered before come first.
         if (known != nullptr)
             state->addresses.insert(state->addresses.begin(), address);
@@ -191,6 +197,7 @@
                                    { { "peer", address }, { "error", error.getDescription().cStr() } });
                                if (!*alive)
                                    return;
+                               m_failedAt[address] = m_loop.timers().now();
                                if (const auto known = m_peers.find(address); known != m_peers.end() && known->second == connection)
                                    known->second.reset();
                                tryNext(state);
