--- a/lib/libfleet/include/fleet/core/eviction.hpp
+++ b/lib/libfleet/include/fleet/core/eviction.hpp
@@ -26,4 +26,7 @@
 /// @brief Core-seconds that are lost when a run is stopped now.
 double lossOf(const tables& state, const live_run& run, time_point now);
 
+/// @brief How long a run still needs, by its progress, else by its estimate.
+milliseconds remainingOf(const live_run& run);
+
 } // namespace fleet
--- a/lib/libfleet/source/core/eviction.cpp
+++ b/lib/libfleet/source/core/eviction.cpp
@@ -17,6 +17,14 @@
 // A unit gives way so often; then only a guarantee takes its place, so that it ends some day.
 constexpr unsigned maxEvictions = 2;
 
+// What ends by itself within this time is waited for: a stop and the end it lists take half of it.
+constexpr milliseconds soonDone { 700 };
+
+bool endsSoon(const live_run& run)
+{
+    return run.phase == run_phase::Active && run.ratePercent > 0 && remainingOf(run) <= soonDone;
+}
+
 using victim_table = std::map<unit_id, victim>;
 
 bool mayEvict(const tables& state, const job_row& job, unsigned priority, bool reclaims)
@@ -37,7 +45,7 @@
         const auto unit = unitOf(state, id.task);
         const auto past = job->second.evictions.find(unit);
         const unsigned times = past == job->second.evictions.end() ? 0 : past->second;
-        if (times >= maxEvictions && !reclaims)
+        if ((times >= maxEvictions && !reclaims) || endsSoon(run))
             continue;
         auto& entry = victims[unit];
         entry.cost += lossOf(state, run, now) * (1 + times);
@@ -46,12 +54,12 @@
     return victims;
 }
 
-/// @brief Room that is being freed by runs whose stop is on its way.
+/// @brief Room that is being freed by runs whose stop is on its way, or that end by themselves soon.
 std::map<std::string, room> leavingRoom(const tables& state)
 {
     std::map<std::string, room> leaving;
     for (const auto& [id, run] : state.runs) {
-        if (run.phase == run_phase::Stopping)
+        if (run.phase == run_phase::Stopping || endsSoon(run))
             leaving[run.worker] += run.need;
     }
     return leaving;
@@ -193,6 +201,14 @@
     return within;
 }
 
+milliseconds remainingOf(const live_run& run)
+{
+    const double left = std::max(0.0, 100 - run.percent) / 100;
+    if (run.ratePercent > 0)
+        return milliseconds(static_cast<std::int64_t>((100 - run.percent) / run.ratePercent * 1000));
+    return milliseconds(static_cast<std::int64_t>(run.expectedMs * left));
+}
+
 double lossOf(const tables& state, const live_run& run, time_point now)
 {
     const auto job = state.jobs.find(run.id.task.job);
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -34,14 +34,6 @@
 // A worker that drains is left when its run can't end in the time that is left, less the time of a stop.
 constexpr milliseconds leaveMargin { 900 };
 
-milliseconds remainingOf(const live_run& run)
-{
-    const double left = std::max(0.0, 100 - run.percent) / 100;
-    if (run.ratePercent > 0)
-        return milliseconds(static_cast<std::int64_t>((100 - run.percent) / run.ratePercent * 1000));
-    return milliseconds(static_cast<std::int64_t>(run.expectedMs * left));
-}
-
 unsigned tasksOf(const step_spec& step)
 {
     return step.gang ? step.count : 1;
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -311,3 +311,21 @@
     fixture.core.takeReport("w1", workerReport("r1"), fixture.now);
     CHECK(fixture.decide().empty());
 }
+
+TEST_CASE("work that is all but done is not evicted", "[core][eviction]")
+{
+    core_fixture fixture;
+    for (const auto* name : { "w1", "w2" })
+        fixture.report(name, workerReport("r1"));
+    fixture.add(job("batch", "batch", { step(2, 8, 8000) }));
+    fixture.decide();
+    const auto began = fixture.now;
+    // One has half a second left, the other half of its work.
+    passTime(fixture, { "w1", "w2" }, 6, [&](const live_run& run) {
+        return secondsSince(began, fixture.now) * (run.id.task.index == 0 ? 15.5 : 8);
+    });
+    fixture.add(job("urgent", "urgent", { step(2, 8) }));
+    const auto stops = core_fixture::only<stop_effect>(fixture.decide());
+    for (const auto& order : stops)
+        CHECK(order.run.task.index == 1);
+}
