--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -24,7 +24,10 @@
 
 struct agent_timing {
     milliseconds permission { 4000 }; ///< The lease is extended so long after a report that the scheduler answered.
-    milliseconds lease { 6000 }; ///< Lease of all that runs, from each look.
+    milliseconds lease { 6000 }; ///< Lease of all that runs, from each look; the worker may allow less.
+
+    /// @brief How long a lease may last: the worker's clock may be 2 % slow.
+    [[nodiscard]] milliseconds longestLease() const { return lease + lease * 205 / 10'000; }
 };
 
 enum class start_outcome { Accepted,
--- a/lib/libfleet/include/fleet/model/job.hpp
+++ b/lib/libfleet/include/fleet/model/job.hpp
@@ -16,7 +16,7 @@
 struct step_spec {
     unsigned count = 1;
     room need; ///< Of each task.
-    std::int64_t estimateMs = 0; ///< Rough run time of a task.
+    std::int64_t runTimeMs = 0; ///< Rough run time of a task.
     std::vector<unsigned> after; ///< Earlier steps whose tasks must all be done first.
     bool checkpointing = false;
     bool gang = false; ///< The tasks run only together.
--- a/lib/libfleet/include/fleet/model/worker.hpp
+++ b/lib/libfleet/include/fleet/model/worker.hpp
@@ -27,7 +27,7 @@
     std::vector<std::string> labels; ///< Its kind, then its rack.
     room capacity;
     bool draining = false;
-    std::int64_t drainLeftMs = 0; ///< Of one that drains: the least time that is left.
+    std::int64_t drainRemainingMs = 0; ///< Of one that drains: the least time that is left.
 
     auto operator<=>(const worker_description&) const = default;
 
--- a/lib/libfleet/schema/fleet.capnp
+++ b/lib/libfleet/schema/fleet.capnp
@@ -37,7 +37,7 @@
   memoryMb @5 :Int64;
   accelerators @6 :Int64;
   draining @7 :Bool;
-  drainLeftMs @8 :Int64;
+  drainRemainingMs @8 :Int64;
   active @9 :List(Active);
   ended @10 :List(Ended);
   responsive @11 :Bool;
--- a/lib/libfleet/schema/fleet.capnp.h
+++ b/lib/libfleet/schema/fleet.capnp.h
@@ -847,7 +847,7 @@
 
   inline bool getDraining() const;
 
-  inline  ::int64_t getDrainLeftMs() const;
+  inline  ::int64_t getDrainRemainingMs() const;
 
   inline bool hasActive() const;
   inline  ::capnp::List< ::fleet::rpc::Active,  ::capnp::Kind::STRUCT>::Reader getActive() const;
@@ -928,8 +928,8 @@
   inline bool getDraining();
   inline void setDraining(bool value);
 
-  inline  ::int64_t getDrainLeftMs();
-  inline void setDrainLeftMs( ::int64_t value);
+  inline  ::int64_t getDrainRemainingMs();
+  inline void setDrainRemainingMs( ::int64_t value);
 
   inline bool hasActive();
   inline  ::capnp::List< ::fleet::rpc::Active,  ::capnp::Kind::STRUCT>::Builder getActive();
@@ -2974,16 +2974,16 @@
       ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t Report::Reader::getDrainLeftMs() const {
+inline  ::int64_t Report::Reader::getDrainRemainingMs() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Report::Builder::getDrainLeftMs() {
+inline  ::int64_t Report::Builder::getDrainRemainingMs() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Report::Builder::setDrainLeftMs( ::int64_t value) {
+inline void Report::Builder::setDrainRemainingMs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -22,13 +22,6 @@
 constexpr milliseconds stopPause { 120 };
 constexpr milliseconds stopPatience { 3000 };
 constexpr unsigned looksUntilSilent = 2;
-// The worker's clock may be 2 % slow.
-constexpr double slowClockFactor = 1.0205;
-
-milliseconds inRealTime(milliseconds lease)
-{
-    return milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) * slowClockFactor));
-}
 
 bool lists(const look_answer& answer, const run_id& run)
 {
@@ -60,7 +53,7 @@
     , m_clock(std::move(now))
     , m_timing(timing)
     , m_makeRuntime(std::move(makeRuntime))
-    , m_leaseEnds(m_clock() + inRealTime(m_timing.lease))
+    , m_leaseEnds(m_clock() + m_timing.longestLease())
 {
 }
 
@@ -98,7 +91,7 @@
         m_looking = false;
         look(milliseconds(0));
     } else if (heartbeat.worker.draining && !wasDraining) {
-        oriole::logEvent(oriole::log_level::Info, "worker_drains", { { "left_ms", heartbeat.worker.drainLeftMs } });
+        oriole::logEvent(oriole::log_level::Info, "worker_drains", { { "left_ms", heartbeat.worker.drainRemainingMs } });
         sendReport();
     }
     return true;
@@ -151,7 +144,7 @@
         if (answer && answer.value().life.bornUnixMs != 0 && answer.value().life.bornUnixMs != m_worker.worker.life.bornUnixMs)
             answer = oriole::notRun(oriole::failure_kind::NotFound, "the worker was born anew");
         if (extends)
-            m_leaseEnds = std::max(m_leaseEnds, m_clock() + inRealTime(m_timing.lease));
+            m_leaseEnds = std::max(m_leaseEnds, m_clock() + m_timing.longestLease());
         takeLook(answer);
     });
 }
@@ -240,7 +233,7 @@
 void worker_agent::sendStart(start_order order, unsigned tries, std::function<void(start_outcome, std::string)> done)
 {
     order.deadlineMs = workerClock() + m_timing.lease.count();
-    m_leaseEnds = std::max(m_leaseEnds, m_clock() + inRealTime(m_timing.lease));
+    m_leaseEnds = std::max(m_leaseEnds, m_clock() + m_timing.longestLease());
     const auto runtime = m_runtime;
     runtime->start(order, [this, order, tries, done = std::move(done), runtime, alive = m_alive](result<start_answer> answer) {
         if (!*alive)
--- a/lib/libfleet/source/core/objective.cpp
+++ b/lib/libfleet/source/core/objective.cpp
@@ -23,7 +23,7 @@
 {
     double sum = 0;
     for (const auto& step : spec.steps)
-        sum += step.need.weight() * static_cast<double>(step.count) * static_cast<double>(step.estimateMs) / 1000;
+        sum += step.need.weight() * static_cast<double>(step.count) * static_cast<double>(step.runTimeMs) / 1000;
     return sum;
 }
 
@@ -35,7 +35,7 @@
         if (std::find(after.begin(), after.end(), step) != after.end())
             longest = std::max(longest, chainFrom(spec, later));
     }
-    return longest + milliseconds(spec.steps[step].estimateMs);
+    return longest + milliseconds(spec.steps[step].runTimeMs);
 }
 
 milliseconds wholeChain(const job_spec& spec)
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -76,7 +76,7 @@
                 run.worker = tasks[i].worker;
                 run.life = tasks[i].life;
                 run.need = needOf(job.job.spec.steps[s]);
-                run.expectedMs = static_cast<double>(job.job.spec.steps[s].estimateMs);
+                run.expectedMs = static_cast<double>(job.job.spec.steps[s].runTimeMs);
                 run.placedAt = run.advancedAt = run.windowAt = run.checkpointAt = now;
                 run.unconfirmed = true;
                 m_state.workers[run.worker].used += run.need;
@@ -123,7 +123,7 @@
     row.about = report.worker;
     row.reachable = report.responsive;
     if (report.worker.draining && !row.leavesAt)
-        row.leavesAt = now + milliseconds(report.worker.drainLeftMs);
+        row.leavesAt = now + milliseconds(report.worker.drainRemainingMs);
 
     for (const auto& ended : report.ended) {
         const auto run = m_state.runs.find(ended.run);
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -243,7 +243,7 @@
     }
     request.provenOnly = !step.lasting && tasks[unit.index].failures + 1 >= rule.maxAttempts;
     // Away from its data it takes three times as long: waiting for up to one run time is better.
-    request.farAllowed = now - job.readySince > milliseconds(step.estimateMs);
+    request.farAllowed = now - job.readySince > milliseconds(step.runTimeMs);
     if (const auto held = m_state.reservations.find(unit); held != m_state.reservations.end()) {
         request.alreadyHeld = held->second.need;
         request.heldOn = held->second.workers;
@@ -368,7 +368,7 @@
         run.need = step.need;
         if (step.fillsIdle)
             run.need.millicores = 0;
-        run.expectedMs = static_cast<double>(step.estimateMs) * spread;
+        run.expectedMs = static_cast<double>(step.runTimeMs) * spread;
         run.spread = spread;
         run.placedAt = run.advancedAt = run.windowAt = run.checkpointAt = now;
         worker.used += run.need;
--- a/lib/libfleet/source/records/job_codec.cpp
+++ b/lib/libfleet/source/records/job_codec.cpp
@@ -25,7 +25,7 @@
 json encodeStep(const step_spec& step)
 {
     json out = { { "count", step.count }, { "millicores", step.need.millicores }, { "memory_mb", step.need.memoryMb },
-        { "accelerators", step.need.accelerators }, { "estimate_ms", step.estimateMs } };
+        { "accelerators", step.need.accelerators }, { "estimate_ms", step.runTimeMs } };
     const auto add = [&out](const char* name, const auto& value) {
         if (value != std::decay_t<decltype(value)> {})
             out[name] = value;
@@ -52,7 +52,7 @@
     step.need.millicores = in.at("millicores").get<std::int64_t>();
     step.need.memoryMb = in.at("memory_mb").get<std::int64_t>();
     step.need.accelerators = in.at("accelerators").get<std::int64_t>();
-    step.estimateMs = in.at("estimate_ms").get<std::int64_t>();
+    step.runTimeMs = in.at("estimate_ms").get<std::int64_t>();
     step.after = in.value("after", std::vector<unsigned> {});
     step.checkpointing = in.value("checkpointing", false);
     step.gang = in.value("gang", false);
--- a/lib/libfleet/source/rpc/convert.cpp
+++ b/lib/libfleet/source/rpc/convert.cpp
@@ -16,7 +16,7 @@
     out.setMemoryMb(worker.capacity.memoryMb);
     out.setAccelerators(worker.capacity.accelerators);
     out.setDraining(worker.draining);
-    out.setDrainLeftMs(worker.drainLeftMs);
+    out.setDrainRemainingMs(worker.drainRemainingMs);
 }
 
 worker_description readWorker(rpc::Report::Reader in)
@@ -29,7 +29,7 @@
         worker.labels.emplace_back(label.cStr());
     worker.capacity = { in.getMillicores(), in.getMemoryMb(), in.getAccelerators() };
     worker.draining = in.getDraining();
-    worker.drainLeftMs = in.getDrainLeftMs();
+    worker.drainRemainingMs = in.getDrainRemainingMs();
     return worker;
 }
 
--- a/lib/libfleet/source/scheduler/agent_directory.cpp
+++ b/lib/libfleet/source/scheduler/agent_directory.cpp
@@ -24,12 +24,6 @@
 constexpr unsigned userTimeoutMs = 3000;
 // Messages under way and timers that fire late.
 constexpr milliseconds lossMargin { 300 };
-constexpr double slowClockFactor = 1.0205;
-
-milliseconds inRealTime(milliseconds lease)
-{
-    return milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) * slowClockFactor));
-}
 
 } // namespace
 
@@ -218,7 +212,7 @@
 
 void agent_directory::check(time_point now)
 {
-    const auto unseen = m_timing.agents.permission + inRealTime(m_timing.agents.lease) + lossMargin;
+    const auto unseen = m_timing.agents.permission + m_timing.agents.longestLease() + lossMargin;
     for (auto& [agent, entry] : m_rows) {
         if (entry.connection != nullptr && now - std::max(entry.heardAt, entry.connectedAt) > silenceLimit)
             disconnected(agent, std::shared_ptr<link>(entry.connection), "silent");
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -1,5 +1,6 @@
 #include <fleet/scheduler/fleet_scheduler.hpp>
 
+#include <fleet/model/unix_time.hpp>
 #include <fleet/records/job_codec.hpp>
 
 #include <oriole/helpers/log.hpp>
@@ -19,11 +20,6 @@
 // A job's age is read off clocks of two machines; more than this is a clock that jumped.
 constexpr milliseconds longestAge { 600'000 };
 
-std::int64_t unixNow()
-{
-    return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 std::string idOf(const std::string& key, const std::string& prefix)
 {
     return key.substr(prefix.size());
@@ -134,7 +130,7 @@
             oriole::logEvent(oriole::log_level::Error, "progress_record_unreadable", { { "job", id } });
     }
     const auto now = m_outside.loop.timers().now();
-    const auto age = std::clamp(milliseconds(unixNow() - job->acceptedUnixMs), milliseconds(0), longestAge);
+    const auto age = std::clamp(milliseconds(unixMilliseconds() - job->acceptedUnixMs), milliseconds(0), longestAge);
     oriole::logEvent(oriole::log_level::Info, "job_taken",
         { { "job", id }, { "queue", job->queue }, { "age_ms", age.count() }, { "steps", job->spec.steps.size() },
             { "state", toString(progress.state) } });
@@ -249,7 +245,7 @@
     m_decisionDue = false;
     if (!m_decides)
         return;
-    const auto effects = m_core.decide(m_outside.loop.timers().now(), unixNow());
+    const auto effects = m_core.decide(m_outside.loop.timers().now(), unixMilliseconds());
     for (const auto& job : m_core.takeChanged())
         m_writer.change(job);
     for (const auto& entry : effects)
--- a/main/oriolefleetd/source/agent_process.cpp
+++ b/main/oriolefleetd/source/agent_process.cpp
@@ -17,7 +17,6 @@
 
 using oriole::milliseconds;
 
-constexpr milliseconds longestLease { 6000 };
 // Without a scheduler the agent announces itself again at this pace.
 constexpr milliseconds announcePeriod { 2500 };
 constexpr milliseconds announceRetry { 300 };
@@ -25,7 +24,7 @@
 fleet::agent_timing agentTiming(const platform::node_settings& settings)
 {
     fleet::agent_timing timing;
-    timing.lease = std::min(longestLease, settings.longestLease);
+    timing.lease = std::min(fleet::agent_timing().lease, settings.longestLease);
     return timing;
 }
 
--- a/main/oriolefleetd/source/entry_process.cpp
+++ b/main/oriolefleetd/source/entry_process.cpp
@@ -20,7 +20,6 @@
 constexpr milliseconds viewFreshness { 1500 };
 // An entry that could not confirm its view for this long sends new callers elsewhere.
 constexpr milliseconds readyFreshness { 3500 };
-constexpr milliseconds longestLease { 6000 };
 // The platform needs two failed looks of a second each to send new callers elsewhere.
 constexpr milliseconds drainTime { 2500 };
 constexpr milliseconds stopCheck { 100 };
@@ -32,7 +31,7 @@
     fleet::scheduler_settings out;
     out.core.spreadFactor = settings.spreadFactor;
     out.core.gangTimeout = settings.gangTimeout;
-    out.directory.agents.lease = std::min(longestLease, settings.longestLease);
+    out.directory.agents.lease = std::min(fleet::agent_timing().lease, settings.longestLease);
     return out;
 }
 
--- a/tests/fleet/core_fixture.hpp
+++ b/tests/fleet/core_fixture.hpp
@@ -29,12 +29,12 @@
     return report;
 }
 
-inline step_spec step(unsigned count, std::int64_t accelerators, std::int64_t estimateMs = 4000)
+inline step_spec step(unsigned count, std::int64_t accelerators, std::int64_t runTimeMs = 4000)
 {
     step_spec out;
     out.count = count;
     out.need = { 1000, 1000, accelerators };
-    out.estimateMs = estimateMs;
+    out.runTimeMs = runTimeMs;
     return out;
 }
 
