--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -324,8 +324,10 @@
     passTime(fixture, { "w1", "w2" }, 6, [&](const live_run& run) {
         return secondsSince(began, fixture.now) * (run.id.task.index == 0 ? 15.5 : 8);
     });
-    fixture.add(job("urgent", "urgent", { step(2, 8) }));
+    auto gang = step(2, 8);
+    gang.gang = true;
+    fixture.add(job("urgent", "urgent", { gang }));
     const auto stops = core_fixture::only<stop_effect>(fixture.decide());
-    for (const auto& order : stops)
-        CHECK(order.run.task.index == 1);
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run.task.index == 1);
 }
