--- a/lib/libfleet/include/fleet/entry/entry_peers.hpp
+++ b/lib/libfleet/include/fleet/entry/entry_peers.hpp
@@ -30,6 +30,12 @@
     unsigned retryAfterSeconds = 0; ///< 0 for none.
 };
 
+/// @brief The end of a call that was handed on.
+struct relay_outcome {
+    std::optional<relayed_answer> answer; ///< No value when no peer answered.
+    bool open = false; ///< A peer that was reached did not answer: it may serve the call, now or later.
+};
+
 /// @brief What an entry does for others.
 class entry_host {
 public:
@@ -67,8 +73,8 @@
     [[nodiscard]] bool empty() const { return m_peers.empty(); }
 
     /// @brief Hands a call to one peer after the other until one serves it.
-    /// @return Through @p done no value when none answered; a call is safe to hand on twice, since its job's id is its own.
-    void relay(relayed_call call, std::function<void(std::optional<relayed_answer>)> done);
+    /// A call is safe to hand on twice, since its job's id is its own.
+    void relay(relayed_call call, std::function<void(relay_outcome)> done);
 
     /// @brief Tells all peers an agent's address.
     void announce(const std::string& agent, const std::string& address);
--- a/lib/libfleet/source/entry/entry_peers.cpp
+++ b/lib/libfleet/source/entry/entry_peers.cpp
@@ -84,13 +84,15 @@
 
 /// @brief A connection to one entry; the promise behind it is shared by all calls.
 struct entry_peers::peer {
-    explicit peer(kj::Promise<kj::Own<kj::AsyncIoStream>> opening)
-        : stream(kj::newPromisedStream(kj::mv(opening)))
+    peer(kj::Promise<kj::Own<kj::AsyncIoStream>> opening, std::shared_ptr<bool> opened)
+        : reached(std::move(opened))
+        , stream(kj::newPromisedStream(kj::mv(opening)))
         , client(*stream)
         , entry(client.bootstrap().castAs<rpc::Entry>())
     {
     }
 
+    std::shared_ptr<bool> reached; ///< It was open once: calls on it may have arrived.
     kj::Own<kj::AsyncIoStream> stream;
     capnp::TwoPartyClient client;
     rpc::Entry::Client entry;
@@ -99,7 +101,8 @@
 struct entry_peers::relay_state {
     relayed_call call;
     std::vector<std::string> addresses;
-    std::function<void(std::optional<relayed_answer>)> done;
+    bool open = false; ///< A peer asked before may serve the call.
+    std::function<void(relay_outcome)> done;
 };
 
 entry_peers::entry_peers(oriole::event_loop& loop)
@@ -133,16 +136,18 @@
     auto opening = m_loop.io().provider->getNetwork().parseAddress(address.c_str()).then([](kj::Own<kj::NetworkAddress> parsed) {
         return parsed->connect().attach(kj::mv(parsed));
     });
-    auto guarded = opening.exclusiveJoin(kj::mv(limit)).then([](kj::Own<kj::AsyncIoStream> stream) {
+    auto reached = std::make_shared<bool>(false);
+    auto guarded = opening.exclusiveJoin(kj::mv(limit)).then([reached](kj::Own<kj::AsyncIoStream> stream) {
+        *reached = true;
         const unsigned limitMs = userTimeoutMs;
         stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs, sizeof(limitMs));
         return stream;
     });
-    known = std::make_shared<peer>(kj::mv(guarded));
+    known = std::make_shared<peer>(kj::mv(guarded), reached);
     return known;
 }
 
-void entry_peers::relay(relayed_call call, std::function<void(std::optional<relayed_answer>)> done)
+void entry_peers::relay(relayed_call call, std::function<void(relay_outcome)> done)
 {
     auto state = std::make_shared<relay_state>();
     state->call = std::move(call);
@@ -166,7 +171,7 @@
 void entry_peers::tryNext(const std::shared_ptr<relay_state>& state)
 {
     if (state->addresses.empty())
-        return state->done(std::nullopt);
+        return state->done({ std::nullopt, state->open });
     const auto address = state->addresses.front();
     state->addresses.erase(state->addresses.begin());
     const auto connection = connected(address);
@@ -190,11 +195,13 @@
                                // A peer that can't serve it either leaves it to the next.
                                if (*alive && served->status == 503 && !state->addresses.empty())
                                    return tryNext(state);
-                               state->done(*served);
+                               state->done({ *served, state->open });
                            },
                            [this, state, address, connection, alive = m_alive](kj::Exception&& error) {
                                oriole::logEvent(oriole::log_level::Info, "peer_failed",
-                                   { { "peer", address }, { "error", error.getDescription().cStr() } });
+                                   { { "peer", address }, { "error", error.getDescription().cStr() },
+                                       { "reached", *connection->reached } });
+                               state->open = state->open || *connection->reached;
                                if (!*alive)
                                    return;
                                m_failedAt[address] = m_loop.timers().now();
