An entry that starts again does not wait for the lease of its own earlier life

Change: a record that names this entry and another life is removed on condition of its revision. Epochs still rise; a deposed process's writes fail as before. Test: three cases, the first failing before.

--- a/lib/libfleet/include/fleet/scheduler/leadership.hpp
+++ b/lib/libfleet/include/fleet/scheduler/leadership.hpp
@@ -47,6 +47,8 @@
 
 private:
     void attempt();
+    [[nodiscard]] bool isOfEarlierLife(const record& found) const;
+    void removeEarlier(const record& found);
     void claim();
     void readBack();
     void win(std::uint64_t epoch, time_point sentAt);
--- a/lib/libfleet/source/scheduler/leadership.cpp
+++ b/lib/libfleet/source/scheduler/leadership.cpp
@@ -64,6 +64,8 @@
         if (!*alive)
             return;
         m_trying = false;
+        if (found && isOfEarlierLife(found.value()))
+            return removeEarlier(found.value());
         if (!found || found.value().revision != 0)
             return later(attemptPeriod, &leadership::attempt);
         m_trying = true;
@@ -80,6 +82,28 @@
     });
 }
 
+/// The process that wrote it has ended, since this one runs in its place: its lease need not be waited for.
+bool leadership::isOfEarlierLife(const record& found) const
+{
+    return found.revision != 0 && found.value != m_token && found.value.starts_with(m_name + "/");
+}
+
+void leadership::removeEarlier(const record& found)
+{
+    oriole::logEvent(oriole::log_level::Info, "earlier_life_removed",
+        { { "record", found.value }, { "revision", found.revision } });
+    m_trying = true;
+    record_transaction removal { { { record_keys::scheduler, found.revision } }, {}, { record_keys::scheduler } };
+    m_store.commit(std::move(removal), [this, alive = m_alive](const result<commit_outcome>& outcome) {
+        if (!*alive)
+            return;
+        m_trying = false;
+        if (outcome && outcome.value().applied)
+            return attempt();
+        later(attemptPeriod, &leadership::attempt);
+    });
+}
+
 void leadership::claim()
 {
     const auto sentAt = m_clock();
--- a/tests/fleet/store_test.cpp
+++ b/tests/fleet/store_test.cpp
@@ -161,6 +161,46 @@
     CHECK(firstWon + secondWon == 2);
 }
 
+TEST_CASE("an entry that starts again does not wait for its own earlier lease", "[store][leadership]")
+{
+    fake_store store;
+    oriole::timer_service timers(start);
+    const auto clock = [&] { return timers.now(); };
+    std::optional<std::uint64_t> epoch;
+    leadership again(store, timers, clock, "e1", { [&](std::uint64_t won) { epoch = won; }, [](const std::string&) {} });
+    SECTION("its own record")
+    {
+        store.put(record_keys::scheduler, "e1/earlier");
+        const auto before = static_cast<std::uint64_t>(store.revision);
+        again.start();
+        store.run();
+        REQUIRE(epoch);
+        CHECK(*epoch > before);
+    }
+    SECTION("that of another entry stands until its lease has ended")
+    {
+        store.put(record_keys::scheduler, "e10/earlier");
+        again.start();
+        store.run();
+        timers.advance(start + milliseconds(1500));
+        store.run();
+        CHECK_FALSE(epoch);
+    }
+    SECTION("its own record that another replaces meanwhile")
+    {
+        store.put(record_keys::scheduler, "e1/earlier");
+        store.next = fake_store::fate::Late;
+        again.start();
+        store.run();
+        store.put(record_keys::scheduler, "e2/new");
+        store.makeLate();
+        timers.advance(start + milliseconds(1500));
+        store.run();
+        CHECK_FALSE(epoch);
+        CHECK(store.records[record_keys::scheduler].value == "e2/new");
+    }
+}
+
 TEST_CASE("a job is stored once, whoever hands it in and whatever answer is lost", "[store][intake]")
 {
     fake_store store;
