Going far costs two run times and is waited for as long; a worker is slow only if its other runs are; slack is trusted to 0.6

(3) Urgent work waited for room that came too late: slack rests on estimates. Changes: stragglers in a module of their own, judged against the other runs on their worker. Tests: 4 sections, failing before.

--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -104,9 +104,6 @@
     void dropReservation(const unit_id& unit);
     [[nodiscard]] std::vector<pending_unit> collectPending(time_point now) const;
     [[nodiscard]] placement_request requestFor(const job_row& job, const unit_id& unit, time_point now) const;
-    [[nodiscard]] bool isStalled(const live_run& run, const step_spec& step, time_point now) const;
-    [[nodiscard]] bool isGangPresent(const live_run& run) const;
-    [[nodiscard]] bool isSlow(const live_run& run, const job_row& job) const;
     [[nodiscard]] bool couldMove(const live_run& run, time_point now) const;
 
     core_settings m_settings;
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -1,4 +1,5 @@
 #include <fleet/core/scheduler_core.hpp>
+#include <fleet/core/stragglers.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -14,26 +15,28 @@
 constexpr milliseconds roomRetry { 100 };
 // A start takes a write to the store and two messages, up to 100 ms, and progress is half a second old.
 constexpr milliseconds startMargin { 300 };
+// Slack is worked out from estimates, which are off by half: more than this share of it may not be there.
+constexpr double slackTrust = 0.6;
 // A guarantee is kept within 2.7 s of the acknowledgement: this leaves time for stops, the write and the start.
 constexpr milliseconds reclaimPatience { 1200 };
 // Core-seconds that urgent work is worth: it loses four fifths of its worth when late, and lost work has its price.
 constexpr double evictionBase = 500;
 constexpr double evictionPerWork = 3;
-// A sound run shows progress well within this time, also when it is seven times slower than estimated.
-constexpr milliseconds stallLimit { 1600 };
-constexpr double stallPercents = 8;
-constexpr unsigned stallReports = 2;
-// A slow run is started elsewhere when that is this much faster.
-constexpr double moveGain = 1.6;
-constexpr double moveCostSeconds = 1;
-// Tasks of one step differ by up to this factor on sound workers.
-constexpr double unevenness = 2.5;
-// Estimates are off by up to this factor; slow workers take four times as long and more.
-constexpr double estimateError = 2.2;
 constexpr double slowBadness = 1;
 // A worker that drains is left when its run can't end in the time that is left, less the time of a stop.
 constexpr milliseconds leaveMargin { 900 };
 
+// Away from its data work takes three times as long: waiting for up to the two run times that this costs is no worse.
+constexpr int farWaitRuns = 2;
+// Work within a guarantee has to begin within 2.7 s of its acceptance, wherever that is.
+constexpr milliseconds guaranteedFarWait { 2000 };
+
+milliseconds farPatience(const step_spec& step, bool guaranteed)
+{
+    const milliseconds patience(step.runTimeMs * farWaitRuns);
+    return guaranteed ? std::min(patience, guaranteedFarWait) : patience;
+}
+
 unsigned tasksOf(const step_spec& step)
 {
     return step.gang ? step.count : 1;
@@ -136,8 +139,8 @@
         // A member that has finished waits for the others.
         if (step.lasting || run.percent >= 100)
             continue;
-        const bool stalled = isStalled(run, step, now);
-        const bool slow = isSlow(run, job->second) && !job->second.movedAsSlow.contains(id.task);
+        const bool stalled = isStalled(m_state, run, m_settings.gangTimeout, now);
+        const bool slow = !job->second.movedAsSlow.contains(id.task) && isSlow(m_state, run);
         if ((!stalled && !slow) || !couldMove(run, now))
             continue;
         if (!stalled)
@@ -150,43 +153,6 @@
     }
 }
 
-bool scheduler_core::isStalled(const live_run& run, const step_spec& step, time_point now) const
-{
-    auto patience = stallLimit + milliseconds(static_cast<std::int64_t>(run.expectedMs / 100 * stallPercents));
-    // A gang begins when the last member has come; until then it does not stand still.
-    if (step.gang && run.percent <= 0 && !isGangPresent(run))
-        patience += m_settings.gangTimeout;
-    // Only what reports show counts: while none come, the run may well go on.
-    return run.reportsSinceAdvance >= stallReports && run.reportedAt - run.advancedAt > patience
-        && now - run.reportedAt < stallLimit;
-}
-
-bool scheduler_core::isGangPresent(const live_run& run) const
-{
-    return std::all_of(m_state.runs.begin(), m_state.runs.end(), [&](const auto& entry) {
-        const auto& [id, other] = entry;
-        const bool member = id.task.job == run.id.task.job && id.task.occurrence == run.id.task.occurrence
-            && id.task.step == run.id.task.step;
-        return !member || (other.phase == run_phase::Active && other.seen);
-    });
-}
-
-/// A run is slow when it needs much longer than others of its step did, or far longer than estimated.
-bool scheduler_core::isSlow(const live_run& run, const job_row& job) const
-{
-    if (run.ratePercent <= 0)
-        return false;
-    const double remaining = (100 - run.percent) / run.ratePercent;
-    double elsewhere = run.expectedMs / 1000 * estimateError;
-    if (const auto known = job.fastestMs.find(run.id.task.step); known != job.fastestMs.end()) {
-        const double own = 100 / run.ratePercent * 1000 / run.spread;
-        // The fastest may be this run itself, which says nothing of others.
-        if (known->second < own / unevenness)
-            elsewhere = known->second / 1000;
-    }
-    return remaining > elsewhere * moveGain + moveCostSeconds;
-}
-
 bool scheduler_core::couldMove(const live_run& run, time_point now) const
 {
     const auto& job = m_state.jobs.at(run.id.task.job);
@@ -230,6 +196,7 @@
 {
     const auto& step = job.job.spec.steps[unit.step];
     const auto rule = ruleOf(m_state, job);
+    const bool withinGuarantee = m_state.withinGuarantee.contains(job.job.organisation);
     placement_request request;
     request.step = &step;
     request.tasks = tasksOf(step);
@@ -242,8 +209,7 @@
             ++request.onWorker[task.worker];
     }
     request.provenOnly = !step.lasting && tasks[unit.index].failures + 1 >= rule.maxAttempts;
-    // Away from its data it takes three times as long: waiting for up to one run time is better.
-    request.farAllowed = now - job.readySince > milliseconds(step.runTimeMs);
+    request.farAllowed = now - job.readySince > farPatience(step, rule.priority == 0 && withinGuarantee);
     if (const auto held = m_state.reservations.find(unit); held != m_state.reservations.end()) {
         request.alreadyHeld = held->second.need;
         request.heldOn = held->second.workers;
@@ -309,7 +275,8 @@
     const auto& need = request.step->need;
 
     // Room that comes by itself in time costs nothing; a guarantee leaves less time than an objective may.
-    auto patience = slackOf(m_state, job, entry.unit, now) - startMargin;
+    const double slackMs = static_cast<double>(slackOf(m_state, job, entry.unit, now).count()) * slackTrust;
+    auto patience = milliseconds(static_cast<std::int64_t>(slackMs)) - startMargin;
     if (reclaims)
         patience = std::min(patience, reclaimPatience - waited);
     if (patience.count() > 0) {
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -242,6 +242,73 @@
     }
 }
 
+TEST_CASE("a task that is long by itself is left alone, tasks on a slow worker are not", "[core][stragglers]")
+{
+    core_fixture fixture;
+    for (const auto* name : { "w1", "w2", "w3" })
+        fixture.report(name, workerReport("r1"));
+    fixture.add(job("a", "batch", { step(8, 2, 4000) }));
+    REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 8);
+    const auto began = fixture.now;
+    SECTION("one of four on a worker needs four times as long as the others")
+    {
+        CHECK(passTime(fixture, { "w1", "w2", "w3" }, 3.5, [&](const live_run& run) {
+            return std::min(99.0, secondsSince(began, fixture.now) * (run.id.task.index == 0 ? 6 : 24));
+        }).empty());
+    }
+    SECTION("all on one worker need four times as long")
+    {
+        const auto slowWorker = fixture.core.state().runs.begin()->second.worker;
+        const auto stops = passTime(fixture, { "w1", "w2", "w3" }, 3.5, [&](const live_run& run) {
+            return std::min(99.0, secondsSince(began, fixture.now) * (run.worker == slowWorker ? 6 : 24));
+        });
+        CHECK(stops.size() == 4);
+    }
+}
+
+TEST_CASE("work waits for a place near its data as long as going away would cost", "[core][placement]")
+{
+    core_fixture fixture;
+    fixture.report("w1", workerReport("r1"));
+    fixture.report("w2", workerReport("r2"));
+    fixture.add(job("holds", "urgent", { step(1, 8, 60'000) }));
+    const auto first = core_fixture::only<start_effect>(fixture.decide());
+    REQUIRE(first.size() == 1);
+    const auto rack = first[0].worker == "w1" ? "r1" : "r2";
+    auto near = step(1, 8, 4000);
+    near.affinityRack = rack;
+    fixture.add(job("waits", "urgent", { near }));
+    CHECK(core_fixture::only<start_effect>(fixture.decide()).empty());
+    const auto startsAfter = [&](std::int64_t ms) {
+        fixture.now = start + milliseconds(ms);
+        fixture.report("w1", workerReport("r1"));
+        fixture.report("w2", workerReport("r2"));
+        return core_fixture::only<start_effect>(fixture.decide());
+    };
+    SECTION("two run times, since it takes three times as long away")
+    {
+        CHECK(startsAfter(7900).empty());
+        const auto starts = startsAfter(8100);
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].spread == 3);
+    }
+    SECTION("less within a guarantee, which has to begin within 2.7 s")
+    {
+        auto rules = fixture.core.state().rules;
+        rules.organisations = { { "o", {}, 8 } };
+        fixture.core.configure(rules);
+        auto guaranteed = job("guaranteed", "urgent", { near });
+        guaranteed.organisation = "o";
+        fixture.add(guaranteed);
+        CHECK(core_fixture::only<start_effect>(fixture.decide()).empty());
+        // Each decision looks at guarantees as they stood before it began.
+        CHECK(startsAfter(1900).empty());
+        const auto starts = startsAfter(2100);
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].run.task.job == "guaranteed");
+    }
+}
+
 TEST_CASE("the jump of a run that resumes from a checkpoint is no speed", "[core][stragglers]")
 {
     core_fixture fixture;
