The event loop sleeps until its next timer is due

Change: the timer service tells its owner what is due first; the loop sleeps until then and is woken for an earlier one; a subscription counts from the present, not from the last tick. Cancelled subscriptions leave the queue.

--- a/lib/liboriole/include/oriole/helpers/event_loop.hpp
+++ b/lib/liboriole/include/oriole/helpers/event_loop.hpp
@@ -47,10 +47,13 @@
 private:
     void taskFailed(kj::Exception&& exception) override;
     kj::Promise<void> pumpTimers();
+    kj::Promise<void> sleepUntilDue();
 
     kj::AsyncIoContext m_io;
     const kj::Executor& m_executor;
     timer_service m_timers;
+    time_point m_sleepsUntil; ///< When the pump of the timers wakes by itself.
+    kj::Own<kj::PromiseFulfiller<void>> m_wakePump;
     kj::PromiseFulfillerPair<void> m_stopped;
     kj::TaskSet m_tasks;
 };
--- a/lib/liboriole/source/helpers/event_loop.cpp
+++ b/lib/liboriole/source/helpers/event_loop.cpp
@@ -10,7 +10,10 @@
 
 namespace {
 
-constexpr auto timerResolution = 5 * kj::MILLISECONDS;
+// Timers that are due within this time of each other share a wake-up.
+constexpr milliseconds timerResolution { 2 };
+// Without a timer the loop only wakes for messages, and now and then.
+constexpr milliseconds longestSleep { 60'000 };
 
 kj::AsyncIoContext setUp()
 {
@@ -30,6 +33,11 @@
     , m_stopped(kj::newPromiseAndFulfiller<void>())
     , m_tasks(*this)
 {
+    m_timers.drive([] { return std::chrono::steady_clock::now(); },
+        [this](time_point due) {
+            if (due < m_sleepsUntil && m_wakePump)
+                m_wakePump->fulfill();
+        });
     m_tasks.add(pumpTimers());
 }
 
@@ -77,10 +85,21 @@
 
 kj::Promise<void> event_loop::pumpTimers()
 {
-    return m_io.provider->getTimer().afterDelay(timerResolution).then([this] {
+    return sleepUntilDue().then([this] {
         m_timers.advance(std::chrono::steady_clock::now());
         return pumpTimers();
     });
 }
 
+kj::Promise<void> event_loop::sleepUntilDue()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto due = m_timers.nextDue().value_or(now + longestSleep);
+    m_sleepsUntil = std::max(due, now + timerResolution);
+    auto wake = kj::newPromiseAndFulfiller<void>();
+    m_wakePump = kj::mv(wake.fulfiller);
+    const auto sleep = std::chrono::duration_cast<std::chrono::nanoseconds>(m_sleepsUntil - now);
+    return m_io.provider->getTimer().afterDelay(sleep.count() * kj::NANOSECONDS).exclusiveJoin(kj::mv(wake.promise));
+}
+
 } // namespace oriole
--- a/lib/liboriole/source/helpers/timer_service.cpp
+++ b/lib/liboriole/source/helpers/timer_service.cpp
@@ -1,5 +1,6 @@
 #include <oriole/helpers/timer_service.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace oriole {
@@ -19,9 +20,36 @@
     return add(delay, milliseconds::zero(), std::move(handler));
 }
 
+void timer_service::drive(std::function<time_point()> clock, std::function<void(time_point)> wake)
+{
+    m_clock = std::move(clock);
+    m_wake = std::move(wake);
+}
+
+std::optional<time_point> timer_service::nextDue() const
+{
+    if (m_queue.empty())
+        return std::nullopt;
+    return m_queue.begin()->first;
+}
+
+void timer_service::enqueue(time_point due, subscription_id id)
+{
+    const auto place = m_queue.emplace(due, id);
+    if (m_wake && place == m_queue.begin())
+        m_wake(due);
+}
+
 void timer_service::cancel(subscription_id id)
 {
-    m_subscriptions.erase(id);
+    const auto found = m_subscriptions.find(id);
+    if (found == m_subscriptions.end())
+        return;
+    const auto [first, last] = m_queue.equal_range(found->second.due);
+    const auto place = std::find_if(first, last, [id](const auto& entry) { return entry.second == id; });
+    if (place != last)
+        m_queue.erase(place);
+    m_subscriptions.erase(found);
 }
 
 void timer_service::advance(time_point now)
@@ -40,7 +68,7 @@
             m_subscriptions.erase(found);
         } else {
             found->second.due = now + found->second.period;
-            m_queue.emplace(found->second.due, id);
+            enqueue(found->second.due, id);
         }
         handler(now);
     }
@@ -49,9 +77,9 @@
 timer_service::subscription_id timer_service::add(milliseconds delay, milliseconds period, callback handler)
 {
     const auto id = m_nextId++;
-    const auto due = m_now + delay;
+    const auto due = now() + delay;
     m_subscriptions.emplace(id, subscription { due, period, std::move(handler) });
-    m_queue.emplace(due, id);
+    enqueue(due, id);
     return id;
 }
 
