--- a/lib/libfleet/include/fleet/agent/agent_server.hpp
+++ b/lib/libfleet/include/fleet/agent/agent_server.hpp
@@ -5,6 +5,7 @@
 #include <fleet/agent/worker_agent.hpp>
 
 #include <oriole/helpers/event_loop.hpp>
+#include <oriole/helpers/metrics.hpp>
 
 #include <memory>
 #include <string>
@@ -14,7 +15,7 @@
 class agent_server {
 public:
     /// @param address IP:PORT to listen on.
-    agent_server(oriole::event_loop& loop, worker_agent& agent, const std::string& address);
+    agent_server(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics, const std::string& address);
     ~agent_server();
     agent_server(const agent_server&) = delete;
     agent_server& operator=(const agent_server&) = delete;
--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -73,7 +73,6 @@
     void acknowledge(std::uint64_t epoch, const worker_life& life, std::uint64_t upTo);
 
     [[nodiscard]] bool attached() const { return m_link != nullptr && permitted(); }
-    [[nodiscard]] bool hasWorker() const { return m_runtime != nullptr; }
 
 private:
     struct stop_request;
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -38,7 +38,6 @@
     time_point badnessAt; ///< When it last rose.
     std::optional<time_point> leavesAt; ///< Of one that drains: when it may be gone.
     time_point blockedUntil; ///< It refused for want of room: its own view differs from ours until then.
-    unsigned successes = 0;
 
     [[nodiscard]] room free() const { return about.capacity - used - reserved; }
 };
--- a/lib/libfleet/include/fleet/http/http_listener.hpp
+++ b/lib/libfleet/include/fleet/http/http_listener.hpp
@@ -27,6 +27,7 @@
     unsigned status = 200;
     std::string body = "{}";
     std::optional<unsigned> retryAfterSeconds;
+    std::string contentType = "application/json";
 };
 
 struct listener_settings {
--- /dev/null
+++ b/lib/libfleet/include/fleet/http/metrics_listener.hpp
@@ -0,0 +1,19 @@
+/// @file
+/// @brief Serves a process's metrics as text.
+#pragma once
+
+#include <fleet/http/http_listener.hpp>
+
+#include <oriole/helpers/metrics.hpp>
+
+#include <memory>
+#include <string>
+
+namespace fleet {
+
+/// @brief Answers GET with all metrics of @p registry, in the Prometheus text format.
+/// @param address IP:PORT.
+std::unique_ptr<http_listener> serveMetrics(
+    oriole::event_loop& loop, const oriole::metrics_registry& registry, const std::string& address);
+
+} // namespace fleet
--- a/lib/libfleet/include/fleet/model/configuration.hpp
+++ b/lib/libfleet/include/fleet/model/configuration.hpp
@@ -33,18 +33,10 @@
     auto operator<=>(const organisation_rule&) const = default;
 };
 
-struct service_rule {
-    std::string name;
-    bool guardsRoom = true; ///< Its workers refuse what does not fit.
-
-    auto operator<=>(const service_rule&) const = default;
-};
-
 struct configuration {
     std::int64_t version = 0;
     std::vector<queue_rule> queues;
     std::vector<organisation_rule> organisations;
-    std::vector<service_rule> services;
     std::uint64_t maxBodyBytes = 0; ///< 0 for no limit of the operators.
 
     auto operator<=>(const configuration&) const = default;
--- a/lib/libfleet/include/fleet/scheduler/progress_writer.hpp
+++ b/lib/libfleet/include/fleet/scheduler/progress_writer.hpp
@@ -47,7 +47,6 @@
 
     /// @brief Whether all changes of the job are recorded.
     [[nodiscard]] bool isClean(const std::string& job) const;
-    [[nodiscard]] std::size_t waiting() const { return m_busy; }
 
 private:
     struct row {
--- a/lib/libfleet/source/agent/agent_server.cpp
+++ b/lib/libfleet/source/agent/agent_server.cpp
@@ -71,11 +71,38 @@
     return rpc::StopOutcome::UNANSWERED;
 }
 
+std::string nameOf(start_outcome outcome)
+{
+    switch (outcome) {
+    case start_outcome::Accepted:
+        return "accepted";
+    case start_outcome::Refused:
+        return "refused";
+    case start_outcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+std::string nameOf(stop_outcome outcome)
+{
+    switch (outcome) {
+    case stop_outcome::Absent:
+        return "absent";
+    case stop_outcome::Ending:
+        return "ending";
+    case stop_outcome::Unanswered:
+        return "unanswered";
+    }
+    return "unanswered";
+}
+
 class agent_service final : public rpc::Agent::Server {
 public:
-    agent_service(oriole::event_loop& loop, worker_agent& agent)
+    agent_service(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics)
         : m_loop(loop)
         , m_agent(agent)
+        , m_metrics(metrics)
     {
     }
 
@@ -101,10 +128,11 @@
         start_order order { *run, params.getText().cStr(), params.getCheckpoint().cStr() };
         auto answer = oriole::makePromiseCallback<start_result>();
         m_agent.start(params.getEpoch(), readLife(params.getLife()), std::move(order),
-            [run = *run, epoch = params.getEpoch(), resolve = answer.resolve](start_outcome outcome, std::string reason) {
+            [this, run = *run, epoch = params.getEpoch(), resolve = answer.resolve](start_outcome outcome, std::string reason) {
+                m_metrics.counter("oriole_start_orders_total", { { "outcome", nameOf(outcome) } }).add();
                 oriole::logEvent(oriole::log_level::Info, "start_order",
                     { { "task", toString(run.task) }, { "attempt", run.attempt }, { "epoch", epoch },
-                        { "outcome", static_cast<int>(outcome) }, { "reason", reason } });
+                        { "outcome", nameOf(outcome) }, { "reason", reason } });
                 resolve({ outcome, std::move(reason) });
             });
         return answer.promise.then([context](const start_result& result) mutable {
@@ -122,9 +150,10 @@
             return KJ_EXCEPTION(FAILED, "malformed task name");
         auto answer = oriole::makePromiseCallback<stop_outcome>();
         m_agent.stop(params.getEpoch(), readLife(params.getLife()), *run, answer.resolve);
-        return answer.promise.then([context, run = *run](stop_outcome outcome) mutable {
+        return answer.promise.then([this, context, run = *run](stop_outcome outcome) mutable {
+            m_metrics.counter("oriole_stop_orders_total", { { "outcome", nameOf(outcome) } }).add();
             oriole::logEvent(oriole::log_level::Info, "stop_order",
-                { { "task", toString(run.task) }, { "attempt", run.attempt }, { "outcome", static_cast<int>(outcome) } });
+                { { "task", toString(run.task) }, { "attempt", run.attempt }, { "outcome", nameOf(outcome) } });
             context.getResults().setOutcome(toWire(outcome));
         });
     }
@@ -139,13 +168,14 @@
 private:
     oriole::event_loop& m_loop;
     worker_agent& m_agent;
+    oriole::metrics_registry& m_metrics;
 };
 
 } // namespace
 
 struct agent_server::state {
-    state(oriole::event_loop& loop, worker_agent& agent)
-        : server(kj::heap<agent_service>(loop, agent))
+    state(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics)
+        : server(kj::heap<agent_service>(loop, agent, metrics))
     {
     }
 
@@ -153,8 +183,9 @@
     kj::Own<kj::ConnectionReceiver> receiver;
 };
 
-agent_server::agent_server(oriole::event_loop& loop, worker_agent& agent, const std::string& address)
-    : m_state(std::make_unique<state>(loop, agent))
+agent_server::agent_server(
+    oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics, const std::string& address)
+    : m_state(std::make_unique<state>(loop, agent, metrics))
 {
     auto listening = loop.io().provider->getNetwork().parseAddress(address.c_str()).then([this](kj::Own<kj::NetworkAddress> parsed) {
         m_state->receiver = parsed->listen();
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -117,7 +117,6 @@
     loseOtherLives(worker, report.worker.life, now);
     if (row.about.life != report.worker.life) {
         row.badness = 0;
-        row.successes = 0;
         row.leavesAt.reset();
     }
     row.about = report.worker;
@@ -315,7 +314,6 @@
     if (how == run_end::Done) {
         worker.badness = badnessOf(worker, now) * successFactor;
         worker.badnessAt = now;
-        ++worker.successes;
     }
     if (how != run_end::Failed)
         return;
--- a/lib/libfleet/source/http/http_listener.cpp
+++ b/lib/libfleet/source/http/http_listener.cpp
@@ -44,13 +44,14 @@
 kj::Promise<void> sendAnswer(kj::HttpService::Response& response, const kj::HttpHeaderTable& table, outgoing_response answer)
 {
     kj::HttpHeaders headers(table);
-    headers.set(kj::HttpHeaderId::CONTENT_TYPE, "application/json");
+    auto type = kj::str(answer.contentType);
+    headers.set(kj::HttpHeaderId::CONTENT_TYPE, type);
     if (answer.retryAfterSeconds)
         headers.add("Retry-After", kj::str(*answer.retryAfterSeconds));
     auto body = std::make_unique<std::string>(std::move(answer.body));
     auto stream = response.send(answer.status, reasonPhrase(answer.status), headers, body->size());
     auto written = stream->write(body->data(), body->size());
-    return written.attach(kj::mv(stream), std::move(body));
+    return written.attach(kj::mv(stream), std::move(body), kj::mv(type));
 }
 
 std::string errorBody(std::string_view reason)
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -178,6 +178,7 @@
             oriole::logEvent(oriole::log_level::Info, "run_ended",
                 { { "task", toString(ended.run.task) }, { "attempt", ended.run.attempt }, { "how", toString(ended.how) },
                     { "agent", agent } });
+            m_outside.metrics.counter("oriole_run_ends_total", { { "how", std::string(toString(ended.how)) } }).add();
         }
     }
     const bool news = m_core.isNews(agent, report);
@@ -245,7 +246,10 @@
     m_decisionDue = false;
     if (!m_decides)
         return;
+    const auto began = std::chrono::steady_clock::now();
     const auto effects = m_core.decide(m_outside.loop.timers().now(), unixMilliseconds());
+    const auto tookMs = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+    m_outside.metrics.summary("oriole_decision_milliseconds").observe(tookMs);
     for (const auto& job : m_core.takeChanged())
         m_writer.change(job);
     for (const auto& entry : effects)
@@ -257,6 +261,7 @@
     oriole::logEvent(oriole::log_level::Info, "placed",
         { { "task", toString(order.run.task) }, { "attempt", order.run.attempt }, { "agent", order.worker },
             { "spread", order.spread }, { "slack_ms", order.slack.count() }, { "resumes", !order.checkpoint.empty() } });
+    m_outside.metrics.counter("oriole_starts_total").add();
     m_starts[order.run.task.job].push_back({ order, false });
 }
 
@@ -266,6 +271,7 @@
         { { "task", toString(order.run.task) }, { "attempt", order.run.attempt }, { "agent", order.worker },
             { "reason", order.reason }, { "percent", order.percent }, { "rate", order.ratePercent },
             { "loss_core_seconds", order.lossCoreSeconds } });
+    m_outside.metrics.counter("oriole_stops_total", { { "reason", order.reason } }).add();
     // A start that was not sent need not be stopped.
     auto& starts = m_starts[order.run.task.job];
     const auto unsent = std::find_if(starts.begin(), starts.end(), [&](const auto& start) { return start.order.run == order.run; });
@@ -299,6 +305,7 @@
     const auto* job = m_core.findJob(id);
     if (job == nullptr || !isFinal(job->progress.state) || !m_finished.insert(id).second)
         return;
+    m_outside.metrics.counter("oriole_jobs_finished_total", { { "state", std::string(toString(job->progress.state)) } }).add();
     const auto rule = ruleOf(m_core.state(), *job);
     const auto age = std::chrono::duration_cast<milliseconds>(m_outside.loop.timers().now() - job->acceptedAt);
     oriole::logEvent(oriole::log_level::Info, "job_finished",
--- a/lib/liboriole/include/oriole/helpers/event_loop.hpp
+++ b/lib/liboriole/include/oriole/helpers/event_loop.hpp
@@ -32,6 +32,9 @@
     /// @brief Calls @p handler once, on the first SIGTERM or SIGINT.
     void onStopSignal(std::function<void()> handler);
 
+    /// @brief Calls @p handler on each SIGHUP.
+    void onReloadSignal(std::function<void()> handler);
+
     /// @brief Keeps a task running to its end; an exception is logged with @p name.
     void detach(const char* name, kj::Promise<void> task);
 
@@ -46,6 +49,7 @@
 
 private:
     void taskFailed(kj::Exception&& exception) override;
+    kj::Promise<void> awaitReload(std::function<void()> handler);
     kj::Promise<void> pumpTimers();
     kj::Promise<void> sleepUntilDue();
 
--- a/lib/liboriole/source/helpers/event_loop.cpp
+++ b/lib/liboriole/source/helpers/event_loop.cpp
@@ -51,6 +51,19 @@
     detach("stop signal", either.then([handler = std::move(handler)] { handler(); }));
 }
 
+void event_loop::onReloadSignal(std::function<void()> handler)
+{
+    detach("reload signal", awaitReload(std::move(handler)));
+}
+
+kj::Promise<void> event_loop::awaitReload(std::function<void()> handler)
+{
+    return m_io.unixEventPort.onSignal(SIGHUP).then([this, handler = std::move(handler)](siginfo_t&&) {
+        handler();
+        return awaitReload(handler);
+    });
+}
+
 void event_loop::detach(const char* name, kj::Promise<void> task)
 {
     m_tasks.add(task.catch_([name](kj::Exception&& exception) {
--- a/main/oriolefleetd/source/agent_process.cpp
+++ b/main/oriolefleetd/source/agent_process.cpp
@@ -4,10 +4,12 @@
 
 #include <heartbeat_api.hpp>
 #include <runtime_adapter.hpp>
+#include <settings_monitor.hpp>
 #include <store_adapter.hpp>
 
 #include <fleet/agent/agent_server.hpp>
 #include <fleet/entry/fleet_entry.hpp>
+#include <fleet/http/metrics_listener.hpp>
 
 #include <oriole/helpers/log.hpp>
 
@@ -30,17 +32,19 @@
 
 class agent_process {
 public:
-    explicit agent_process(const platform::node_settings& settings)
+    agent_process(const platform::node_settings& settings, const process_options& options)
         : m_settings(settings)
         , m_store(m_loop, settings.storeAddress)
         , m_agent(m_loop.timers(), bootClock, agentTiming(settings),
               [this](const fleet::worker_heartbeat& worker) { return std::make_unique<platform::runtime_adapter>(m_loop, worker); })
         , m_heartbeats(m_loop, settings.heartbeatAddress, m_agent)
-        , m_server(m_loop, m_agent, settings.rpcAddress)
+        , m_server(m_loop, m_agent, m_metrics, settings.rpcAddress)
         , m_entries(m_loop)
+        , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { addSeeds(changed); })
     {
-        for (const auto& seed : settings.seeds)
-            m_entries.add(seed);
+        addSeeds(settings);
+        if (options.metricsPort != 0)
+            m_metricsListener = fleet::serveMetrics(m_loop, m_metrics, settings.ip + ":" + std::to_string(options.metricsPort));
     }
 
     int run()
@@ -55,6 +59,12 @@
     }
 
 private:
+    void addSeeds(const platform::node_settings& settings)
+    {
+        for (const auto& seed : settings.seeds)
+            m_entries.add(seed);
+    }
+
     /// An agent that no scheduler has attached to writes its address again, which schedulers hear.
     void announce()
     {
@@ -79,18 +89,21 @@
 
     const platform::node_settings& m_settings;
     oriole::event_loop m_loop;
+    oriole::metrics_registry m_metrics;
     platform::store_adapter m_store;
     fleet::worker_agent m_agent;
     platform::heartbeat_api m_heartbeats;
     fleet::agent_server m_server;
     fleet::entry_peers m_entries;
+    platform::settings_monitor m_monitor;
+    std::unique_ptr<fleet::http_listener> m_metricsListener;
 };
 
 } // namespace
 
-int runAgent(const platform::node_settings& settings)
+int runAgent(const platform::node_settings& settings, const process_options& options)
 {
-    return agent_process(settings).run();
+    return agent_process(settings, options).run();
 }
 
 } // namespace fleetd
--- a/main/oriolefleetd/source/agent_process.hpp
+++ b/main/oriolefleetd/source/agent_process.hpp
@@ -2,12 +2,14 @@
 /// @brief The process of the role `agent`.
 #pragma once
 
+#include "process_options.hpp"
+
 #include <settings.hpp>
 
 namespace fleetd {
 
 /// @brief Runs until a stop signal.
 /// @return The exit code.
-int runAgent(const platform::node_settings& settings);
+int runAgent(const platform::node_settings& settings, const process_options& options);
 
 } // namespace fleetd
--- a/main/oriolefleetd/source/entry_process.cpp
+++ b/main/oriolefleetd/source/entry_process.cpp
@@ -4,9 +4,11 @@
 
 #include <caller_api.hpp>
 #include <operator_channel.hpp>
+#include <settings_monitor.hpp>
 #include <store_adapter.hpp>
 
 #include <fleet/entry/fleet_entry.hpp>
+#include <fleet/http/metrics_listener.hpp>
 
 #include <oriole/helpers/log.hpp>
 
@@ -38,7 +40,7 @@
 /// @brief Everything that an entry is made of.
 class entry_process final : private fleet::entry_host {
 public:
-    explicit entry_process(const platform::node_settings& settings)
+    entry_process(const platform::node_settings& settings, const process_options& options)
         : m_settings(settings)
         , m_store(m_loop, settings.storeAddress)
         , m_control(m_store, m_loop.timers(), bootClock, settings.failureDomains)
@@ -48,15 +50,15 @@
               schedulerSettings(settings))
         , m_api({ m_loop, m_desk, m_control, m_peers, m_metrics, bootClock, viewFreshness })
         , m_server(m_loop, *this, settings.rpcAddress)
-        , m_callers(m_loop, { settings.callerAddress, { "X-Key", "X-Deadline-Ms" }, 1U << 20U },
+        , m_callers(m_loop, { settings.callerAddress, { "X-Key" }, 1U << 20U },
               [this](const fleet::incoming_request& request, const auto& respond) { m_api.handle(request, respond); })
         , m_ready(m_loop, { settings.readyAddress, {}, 1024 },
               [this](const fleet::incoming_request&, const auto& respond) { respond({ isReady() ? 200U : 503U, "{}", {} }); })
+        , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { addSeeds(changed); })
     {
-        for (const auto& seed : settings.seeds) {
-            if (seed != settings.rpcAddress)
-                m_peers.add(seed);
-        }
+        addSeeds(settings);
+        if (options.metricsPort != 0)
+            m_metricsListener = fleet::serveMetrics(m_loop, m_metrics, settings.ip + ":" + std::to_string(options.metricsPort));
     }
 
     int run()
@@ -73,6 +75,14 @@
     }
 
 private:
+    void addSeeds(const platform::node_settings& settings)
+    {
+        for (const auto& seed : settings.seeds) {
+            if (seed != m_settings.rpcAddress)
+                m_peers.add(seed);
+        }
+    }
+
     void serve(const fleet::relayed_call& call, std::function<void(fleet::relayed_answer)> done) override
     {
         m_api.serveRelayed(call, std::move(done));
@@ -111,14 +121,16 @@
     fleet::entry_server m_server;
     fleet::http_listener m_callers;
     fleet::http_listener m_ready;
+    platform::settings_monitor m_monitor;
+    std::unique_ptr<fleet::http_listener> m_metricsListener;
     bool m_stopping = false;
 };
 
 } // namespace
 
-int runEntry(const platform::node_settings& settings)
+int runEntry(const platform::node_settings& settings, const process_options& options)
 {
-    return entry_process(settings).run();
+    return entry_process(settings, options).run();
 }
 
 } // namespace fleetd
--- a/main/oriolefleetd/source/main.cpp
+++ b/main/oriolefleetd/source/main.cpp
@@ -20,8 +20,11 @@
 {
     CLI::App app("orioleway: schedules jobs of many steps on a platform's workers", "oriolefleetd");
     app.require_subcommand(1);
-    std::string file = "/etc/oriolewayd/settings.json";
-    app.add_option("--settings", file, "Settings file of the platform")->envname("ORIOLEWAY_NODE_FILE");
+    fleetd::process_options options;
+    app.add_option("--settings", options.settingsFile, "Settings file of the platform")->envname("ORIOLEWAY_NODE_FILE");
+    app.add_option("--metrics-port", options.metricsPort, "Port of GET /metrics, 0 for none")
+        ->envname("ORIOLE_METRICS_PORT")
+        ->capture_default_str();
     auto* entry = app.add_subcommand("entry", "Serves callers; one of the entries schedules");
     app.add_subcommand("agent", "Runs beside a backend server and gives it orders");
     try {
@@ -30,7 +33,7 @@
         return app.exit(error) == 0 ? 0 : exitBadSettings;
     }
 
-    const auto settings = platform::readSettings(file);
+    const auto settings = platform::readSettings(options.settingsFile);
     if (!settings) {
         std::cerr << settings.error().reason << '\n';
         return exitBadSettings;
@@ -38,5 +41,5 @@
     // Logs go to standard output; the library writes to standard error.
     dup2(STDOUT_FILENO, STDERR_FILENO);
     oriole::startLogging("oriolefleetd", settings.value().name);
-    return entry->parsed() ? fleetd::runEntry(settings.value()) : fleetd::runAgent(settings.value());
+    return entry->parsed() ? fleetd::runEntry(settings.value(), options) : fleetd::runAgent(settings.value(), options);
 }
--- a/tests/fleet/http_test.cpp
+++ b/tests/fleet/http_test.cpp
@@ -1,5 +1,6 @@
 #include <fleet/http/http_client.hpp>
 #include <fleet/http/http_listener.hpp>
+#include <fleet/http/metrics_listener.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -179,3 +180,19 @@
     REQUIRE_FALSE(broken);
     CHECK(broken.error().ran == oriole::verdict::MayHaveRun);
 }
+
+TEST_CASE("metrics are served as text", "[http][metrics]")
+{
+    constexpr unsigned metricsPort = 28418;
+    oriole::event_loop loop;
+    oriole::metrics_registry metrics;
+    metrics.counter("oriole_starts_total").add(3);
+    const auto listener = serveMetrics(loop, metrics, "127.0.0.1:" + std::to_string(metricsPort));
+    loop.after(milliseconds(5)).wait(loop.io().waitScope);
+    raw_exchange peer(loop, metricsPort);
+    const auto answer = peer.send("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(answer.find("200 OK") != std::string::npos);
+    CHECK(answer.find("text/plain") != std::string::npos);
+    CHECK(answer.find("oriole_starts_total 3") != std::string::npos);
+    CHECK(peer.send("POST /metrics HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n").find("405") != std::string::npos);
+}
