An agent counts the age of what an entry knows against its own limit

Change: a view carries how long ago the exchange began by which its sender is fresh; the agent counts its 2 s from there.

--- a/lib/liboriole/include/oriole/entry/control_keeper.hpp
+++ b/lib/liboriole/include/oriole/entry/control_keeper.hpp
@@ -33,6 +33,9 @@
     /// @brief True when a read of the store succeeded within the freshness limit.
     [[nodiscard]] bool readsStore() const;
 
+    /// @brief How long ago the last read of the store began; meaningful while @c readsStore.
+    [[nodiscard]] milliseconds readAge() const;
+
     /// @brief Entries listed in the last read, without this one.
     [[nodiscard]] const std::vector<entry_address>& listed() const { return m_listed; }
 
--- a/lib/liboriole/include/oriole/entry/peer_table.hpp
+++ b/lib/liboriole/include/oriole/entry/peer_table.hpp
@@ -98,6 +98,12 @@
     /// @brief True when some live peer reads the store.
     [[nodiscard]] bool anyReadsStore() const;
 
+    /// @brief How long ago the live peers that read the store were heard, the latest of them; no value without one.
+    [[nodiscard]] std::optional<milliseconds> readerAge() const;
+
+    /// @brief How long ago the live peer was heard that has been silent for longest; 0 without a live one.
+    [[nodiscard]] milliseconds longestSilence() const;
+
     /// @brief True when no peer known is silent: each is live, has said that it leaves, or refuses connections.
     [[nodiscard]] bool noneSilent() const;
 
--- a/lib/liboriole/include/oriole/rpc/convert.hpp
+++ b/lib/liboriole/include/oriole/rpc/convert.hpp
@@ -8,6 +8,8 @@
 
 #include <oriole.capnp.h>
 
+#include <chrono>
+
 namespace oriole::rpc {
 
 /// @brief Views a body as message bytes; @p body must outlive the view.
@@ -50,6 +52,7 @@
     failure_domain_states failureDomains;
     std::shared_ptr<const configuration_head> configuration; ///< Null when the sender left the document out.
     std::uint64_t entriesDigest = 0; ///< Of the whole list of entries, also when it was left out.
+    std::chrono::milliseconds freshAge { 0 }; ///< How long ago the exchange began by which the sender is fresh.
 };
 
 /// @brief What the receiver of a view has said that it holds; zeros when nothing is known.
--- a/lib/liboriole/schema/oriole.capnp
+++ b/lib/liboriole/schema/oriole.capnp
@@ -43,6 +43,8 @@
   # The sender is stopping: send it nothing new.
   entriesDigest @6 :UInt64;
   # Of the list of entries; the list is empty when the receiver's digest is the same.
+  freshAgeMs @7 :UInt32;
+  # How long ago the exchange began by which the sender is fresh.
 }
 
 struct WorkerInfo {
--- a/lib/liboriole/schema/oriole.capnp.h
+++ b/lib/liboriole/schema/oriole.capnp.h
@@ -1154,6 +1154,8 @@
 
   inline  ::uint64_t getEntriesDigest() const;
 
+  inline  ::uint32_t getFreshAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1220,6 +1222,9 @@
   inline  ::uint64_t getEntriesDigest();
   inline void setEntriesDigest( ::uint64_t value);
 
+  inline  ::uint32_t getFreshAgeMs();
+  inline void setFreshAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5824,6 +5829,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ControlView::Reader::getFreshAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ControlView::Builder::getFreshAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ControlView::Builder::setFreshAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkerInfo::Reader::hasName() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/lib/liboriole/source/agent/agent_view.cpp
+++ b/lib/liboriole/source/agent/agent_view.cpp
@@ -19,8 +19,11 @@
 bool agent_view::apply(const rpc::control_view& received, std::optional<time_point> askedAt)
 {
     m_heard = true;
-    if (received.fresh && askedAt.has_value())
-        m_lastFresh = std::max(m_lastFresh.value_or(*askedAt), *askedAt);
+    if (received.fresh && askedAt.has_value()) {
+        // What the sender knows may be old itself: both ages count against the one limit.
+        const auto provenAt = *askedAt - received.freshAge;
+        m_lastFresh = std::max(m_lastFresh.value_or(provenAt), provenAt);
+    }
 
     const bool newConfiguration = m_state.offer(received.configuration);
     const bool newFailureDomains = m_state.offer(received.failureDomains);
--- a/lib/liboriole/source/entry/control_keeper.cpp
+++ b/lib/liboriole/source/entry/control_keeper.cpp
@@ -64,6 +64,11 @@
     return m_everRead && m_timers.now() - m_lastRead <= freshnessLimit;
 }
 
+milliseconds control_keeper::readAge() const
+{
+    return std::chrono::duration_cast<milliseconds>(m_timers.now() - m_lastRead);
+}
+
 void control_keeper::poll()
 {
     if (m_polling)
--- a/lib/liboriole/source/entry/entry_node.cpp
+++ b/lib/liboriole/source/entry/entry_node.cpp
@@ -126,6 +126,14 @@
     return control.readsStore() || peers.anyReadsStore() || peers.noneSilent();
 }
 
+milliseconds entry_node::freshAge() const
+{
+    auto age = peers.readerAge();
+    if (control.readsStore())
+        age = std::min(age.value_or(control.readAge()), control.readAge());
+    return age.value_or(peers.longestSilence());
+}
+
 result<std::shared_ptr<const configuration_head>> entry_node::usableConfiguration() const
 {
     if (m_leaving)
@@ -175,6 +183,7 @@
 void entry_node::writeView(rpc::ControlView::Builder target, const rpc::view_receiver& receiver)
 {
     rpc::write(target, control.state(), liveAddresses(), fresh(), m_leaving, receiver);
+    target.setFreshAgeMs(static_cast<std::uint32_t>(std::max(freshAge(), milliseconds(0)).count()));
 }
 
 std::vector<std::string> entry_node::liveEntries() const
--- a/lib/liboriole/source/entry/peer_table.cpp
+++ b/lib/liboriole/source/entry/peer_table.cpp
@@ -437,6 +437,30 @@
         [&](const auto& item) { return live(item.second) && item.second.state.readsStore; });
 }
 
+std::optional<milliseconds> peer_table::readerAge() const
+{
+    std::optional<milliseconds> least;
+    const auto now = m_loop.timers().now();
+    for (const auto& [key, known] : m_peers) {
+        if (!live(known) || !known.state.readsStore)
+            continue;
+        const auto age = std::chrono::duration_cast<milliseconds>(now - known.lastHeard);
+        least = std::min(least.value_or(age), age);
+    }
+    return least;
+}
+
+milliseconds peer_table::longestSilence() const
+{
+    milliseconds longest { 0 };
+    const auto now = m_loop.timers().now();
+    for (const auto& [key, known] : m_peers) {
+        if (live(known))
+            longest = std::max(longest, std::chrono::duration_cast<milliseconds>(now - known.lastHeard));
+    }
+    return longest;
+}
+
 bool peer_table::noneSilent() const
 {
     return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto& item) {
--- a/lib/liboriole/source/rpc/convert.cpp
+++ b/lib/liboriole/source/rpc/convert.cpp
@@ -311,6 +311,7 @@
     control_view target;
     target.configurationRevision = source.getRevision().getConfiguration();
     target.fresh = source.getFresh();
+    target.freshAge = std::chrono::milliseconds(source.getFreshAgeMs());
     target.leavingEntry = source.getLeavingEntry();
     for (const auto entry : source.getEntries())
         target.entries.push_back(read(entry));
