--- a/lib/libfleet/include/fleet/scheduler/agent_directory.hpp
+++ b/lib/libfleet/include/fleet/scheduler/agent_directory.hpp
@@ -57,6 +57,8 @@
 
 private:
     void connect(const std::string& agent);
+    void opened(const std::string& agent, kj::Own<kj::AsyncIoStream> stream);
+    void attach(const std::string& agent, const std::shared_ptr<link>& connection);
     void reconnectLater(const std::string& agent);
     void disconnected(const std::string& agent, const std::shared_ptr<link>& connection, const std::string& reason);
     void reported(const std::string& agent, const std::shared_ptr<link>& connection, const worker_report& report);
--- a/lib/libfleet/source/agent/agent_server.cpp
+++ b/lib/libfleet/source/agent/agent_server.cpp
@@ -1,11 +1,11 @@
 #include <fleet/agent/agent_server.hpp>
 
 #include <fleet/rpc/convert.hpp>
+#include <fleet/rpc/streams.hpp>
 
 #include <oriole/helpers/log.hpp>
 #include <oriole/helpers/promise.hpp>
 
-#include <capnp/rpc-twoparty.h>
 #include <kj/debug.h>
 
 #include <utility>
@@ -174,24 +174,18 @@
 } // namespace
 
 struct agent_server::state {
-    state(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics)
-        : server(kj::heap<agent_service>(loop, agent, metrics))
+    state(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics, const std::string& address)
+        : listener(loop, address, kj::heap<agent_service>(loop, agent, metrics))
     {
     }
 
-    capnp::TwoPartyServer server;
-    kj::Own<kj::ConnectionReceiver> receiver;
+    rpc_listener listener;
 };
 
 agent_server::agent_server(
     oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics, const std::string& address)
-    : m_state(std::make_unique<state>(loop, agent, metrics))
+    : m_state(std::make_unique<state>(loop, agent, metrics, address))
 {
-    auto listening = loop.io().provider->getNetwork().parseAddress(address.c_str()).then([this](kj::Own<kj::NetworkAddress> parsed) {
-        m_state->receiver = parsed->listen();
-        return m_state->server.listen(*m_state->receiver);
-    });
-    loop.detach("agent server", kj::mv(listening));
 }
 
 agent_server::~agent_server() = default;
--- a/lib/libfleet/source/entry/entry_peers.cpp
+++ b/lib/libfleet/source/entry/entry_peers.cpp
@@ -1,14 +1,13 @@
 #include <fleet/entry/entry_peers.hpp>
 
+#include <fleet/rpc/streams.hpp>
+
 #include <fleet.capnp.h>
 
 #include <oriole/helpers/log.hpp>
 #include <oriole/helpers/promise.hpp>
 
-#include <capnp/rpc-twoparty.h>
 #include <kj/debug.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <utility>
 
@@ -18,11 +17,10 @@
 
 // A peer answers within two round trips of 16 ms and one to the store; more means that it is in trouble too.
 constexpr milliseconds peerTimeout { 700 };
-constexpr milliseconds connectTimeout { 300 };
+constexpr stream_limits limits { milliseconds(300), milliseconds(2000) };
 // A peer that failed is left alone so long: one that is gone costs each call a connect timeout.
 constexpr milliseconds failureMemory { 3000 };
 constexpr std::size_t maxPeers = 3;
-constexpr unsigned userTimeoutMs = 2000;
 
 class entry_service final : public rpc::Entry::Server {
 public:
@@ -61,23 +59,17 @@
 } // namespace
 
 struct entry_server::state {
-    explicit state(entry_host& host)
-        : server(kj::heap<entry_service>(host))
+    state(oriole::event_loop& loop, entry_host& host, const std::string& address)
+        : listener(loop, address, kj::heap<entry_service>(host))
     {
     }
 
-    capnp::TwoPartyServer server;
-    kj::Own<kj::ConnectionReceiver> receiver;
+    rpc_listener listener;
 };
 
 entry_server::entry_server(oriole::event_loop& loop, entry_host& host, const std::string& address)
-    : m_state(std::make_unique<state>(host))
+    : m_state(std::make_unique<state>(loop, host, address))
 {
-    auto listening = loop.io().provider->getNetwork().parseAddress(address.c_str()).then([this](kj::Own<kj::NetworkAddress> parsed) {
-        m_state->receiver = parsed->listen();
-        return m_state->server.listen(*m_state->receiver);
-    });
-    loop.detach("entry server", kj::mv(listening));
 }
 
 entry_server::~entry_server() = default;
@@ -130,20 +122,12 @@
     auto& known = m_peers[address];
     if (known != nullptr)
         return known;
-    auto limit = m_loop.after(connectTimeout).then([]() -> kj::Own<kj::AsyncIoStream> {
-        kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "connect timeout"));
-    });
-    auto opening = m_loop.io().provider->getNetwork().parseAddress(address.c_str()).then([](kj::Own<kj::NetworkAddress> parsed) {
-        return parsed->connect().attach(kj::mv(parsed));
-    });
     auto reached = std::make_shared<bool>(false);
-    auto guarded = opening.exclusiveJoin(kj::mv(limit)).then([reached](kj::Own<kj::AsyncIoStream> stream) {
+    auto opening = openStream(m_loop, address, limits).then([reached](kj::Own<kj::AsyncIoStream> stream) {
         *reached = true;
-        const unsigned limitMs = userTimeoutMs;
-        stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs, sizeof(limitMs));
         return stream;
     });
-    known = std::make_shared<peer>(kj::mv(guarded), reached);
+    known = std::make_shared<peer>(kj::mv(opening), reached);
     return known;
 }
 
--- a/lib/libfleet/source/http/http_client.cpp
+++ b/lib/libfleet/source/http/http_client.cpp
@@ -1,8 +1,9 @@
 #include <fleet/http/http_client.hpp>
 
+#include <fleet/rpc/streams.hpp>
+
 #include <kj/debug.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <algorithm>
 
@@ -10,12 +11,11 @@
 
 namespace {
 
-// A connection is made within two round trips of 20 ms between regions; more means that the peer is away.
-constexpr auto connectTimeout = 700 * kj::MILLISECONDS;
+// A connection is made within two round trips of 20 ms between regions; more means that the peer is away. A link that
+// fails is noticed while an exchange of 4 s at most waits for it.
+constexpr stream_limits limits { oriole::milliseconds(700), oriole::milliseconds(4000) };
 // Backend servers and the store keep idle connections for 15 s; ours go first.
 constexpr auto idleTimeout = 12 * kj::SECONDS;
-// Unacknowledged bytes end a connection after this many milliseconds.
-constexpr unsigned userTimeoutMs = 4000;
 // The largest answer is a page of the store: 1 MB in base64 with its frame.
 constexpr std::uint64_t maxAnswerBytes = 4U << 20U;
 constexpr auto connectFailed = "connect failed: ";
@@ -31,21 +31,10 @@
 
     kj::Promise<kj::Own<kj::AsyncIoStream>> connect() override
     {
-        auto limit = m_timer.afterDelay(connectTimeout).then([]() -> kj::Own<kj::AsyncIoStream> {
-            kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "timeout"));
+        return guardStream(m_inner->connect(), m_timer, limits).catch_([](kj::Exception&& error) -> kj::Own<kj::AsyncIoStream> {
+            auto text = kj::str(connectFailed, error.getDescription());
+            kj::throwFatalException(kj::Exception(kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::mv(text)));
         });
-        return m_inner->connect()
-            .exclusiveJoin(kj::mv(limit))
-            .then(
-                [](kj::Own<kj::AsyncIoStream> stream) {
-                    const unsigned limitMs = userTimeoutMs;
-                    stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs, sizeof(limitMs));
-                    return stream;
-                },
-                [](kj::Exception&& error) -> kj::Own<kj::AsyncIoStream> {
-                    auto text = kj::str(connectFailed, error.getDescription());
-                    kj::throwFatalException(kj::Exception(kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::mv(text)));
-                });
     }
 
     kj::Own<kj::ConnectionReceiver> listen() override { return m_inner->listen(); }
--- a/lib/libfleet/source/scheduler/agent_directory.cpp
+++ b/lib/libfleet/source/scheduler/agent_directory.cpp
@@ -1,13 +1,11 @@
 #include <fleet/scheduler/agent_directory.hpp>
 
 #include <fleet/rpc/convert.hpp>
+#include <fleet/rpc/streams.hpp>
 
 #include <oriole/helpers/log.hpp>
 
-#include <capnp/rpc-twoparty.h>
 #include <kj/debug.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <utility>
@@ -16,12 +14,11 @@
 
 namespace {
 
-// An agent reports every 1.1 s: after this silence its connection is made anew.
+// An agent reports with each look, at most 1.2 s apart: after this silence its connection is made anew.
 constexpr milliseconds silenceLimit { 2600 };
-constexpr milliseconds connectTimeout { 800 };
+constexpr stream_limits limits { milliseconds(800), milliseconds(3000) };
 constexpr milliseconds firstRetry { 100 };
 constexpr milliseconds longestRetry { 1000 };
-constexpr unsigned userTimeoutMs = 3000;
 // Messages under way and timers that fire late.
 constexpr milliseconds lossMargin { 300 };
 
@@ -117,46 +114,11 @@
         return;
     entry.connecting = true;
     const auto generation = entry.generation;
-    auto limit = m_loop.after(connectTimeout).then([]() -> kj::Own<kj::AsyncIoStream> {
-        kj::throwFatalException(KJ_EXCEPTION(DISCONNECTED, "connect timeout"));
-    });
-    auto& network = m_loop.io().provider->getNetwork();
-    auto opened = network.parseAddress(entry.address.c_str()).then([](kj::Own<kj::NetworkAddress> address) {
-        return address->connect().attach(kj::mv(address));
-    });
-    auto done = opened.exclusiveJoin(kj::mv(limit))
+    auto done = openStream(m_loop, entry.address, limits)
                     .then(
                         [this, agent, generation, alive = m_alive](kj::Own<kj::AsyncIoStream> stream) {
-                            if (!*alive || m_rows[agent].generation != generation)
-                                return;
-                            const unsigned limitMs = userTimeoutMs;
-                            stream->setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, &limitMs, sizeof(limitMs));
-                            auto& row = m_rows[agent];
-                            row.connecting = false;
-                            auto connection = std::make_shared<link>(kj::mv(stream));
-                            row.connection = connection;
-                            auto request = connection->agent.attachRequest();
-                            request.setEpoch(m_epoch);
-                            // The service must not own the connection it lives on.
-                            const std::weak_ptr<link> weak = connection;
-                            request.setScheduler(kj::heap<report_service>(m_notify.decides,
-                                [this, agent, weak, alive](const worker_report& report) {
-                                    if (const auto held = weak.lock(); *alive && held != nullptr)
-                                        reported(agent, held, report);
-                                }));
-                            row.connectedAt = m_loop.timers().now();
-                            auto attached = request.send().ignoreResult().then(
-                                [connection] { connection->attached = true; },
-                                [this, agent, connection, alive](kj::Exception&& error) {
-                                    if (*alive)
-                                        disconnected(agent, connection, error.getDescription().cStr());
-                                });
-                            m_loop.detach("attach", kj::mv(attached));
-                            auto gone = connection->client.onDisconnect().then([this, agent, weak, alive] {
-                                if (const auto held = weak.lock(); *alive && held != nullptr)
-                                    disconnected(agent, held, "connection closed");
-                            });
-                            m_loop.detach("agent connection", kj::mv(gone));
+                            if (*alive && m_rows[agent].generation == generation)
+                                opened(agent, kj::mv(stream));
                         },
                         [this, agent, generation, alive = m_alive](kj::Exception&&) {
                             if (!*alive || m_rows[agent].generation != generation)
@@ -167,6 +129,39 @@
     m_loop.detach("agent connect", kj::mv(done));
 }
 
+void agent_directory::opened(const std::string& agent, kj::Own<kj::AsyncIoStream> stream)
+{
+    auto& entry = m_rows[agent];
+    entry.connecting = false;
+    auto connection = std::make_shared<link>(kj::mv(stream));
+    entry.connection = connection;
+    entry.connectedAt = m_loop.timers().now();
+    attach(agent, connection);
+    // Nothing on the connection may own it.
+    auto gone = connection->client.onDisconnect().then([this, agent, weak = std::weak_ptr(connection), alive = m_alive] {
+        if (const auto held = weak.lock(); *alive && held != nullptr)
+            disconnected(agent, held, "connection closed");
+    });
+    m_loop.detach("agent connection", kj::mv(gone));
+}
+
+void agent_directory::attach(const std::string& agent, const std::shared_ptr<link>& connection)
+{
+    auto request = connection->agent.attachRequest();
+    request.setEpoch(m_epoch);
+    request.setScheduler(kj::heap<report_service>(m_notify.decides,
+        [this, agent, weak = std::weak_ptr(connection), alive = m_alive](const worker_report& report) {
+            if (const auto held = weak.lock(); *alive && held != nullptr)
+                reported(agent, held, report);
+        }));
+    auto attached = request.send().ignoreResult().then([connection] { connection->attached = true; },
+        [this, agent, connection, alive = m_alive](kj::Exception&& error) {
+            if (*alive)
+                disconnected(agent, connection, error.getDescription().cStr());
+        });
+    m_loop.detach("attach", kj::mv(attached));
+}
+
 void agent_directory::reconnectLater(const std::string& agent)
 {
     auto& entry = m_rows[agent];
