A deposed owner does not make agents forget ends of its successor's attempts

Ruled out: a lost record (job_ended follows, the page was written), a silent lead (it reported throughout). Change: an owner acknowledges ends of its own epoch and earlier ones only.

--- /dev/null
+++ b/lib/liboriole/source/entry/end_acknowledgement.cpp
@@ -0,0 +1,10 @@
+#include <oriole/entry/end_acknowledgement.hpp>
+
+namespace oriole {
+
+bool mayAcknowledge(const task_report& task, std::uint64_t epoch)
+{
+    return isEnd(task.phase) && task.attempt.epoch <= epoch;
+}
+
+} // namespace oriole
--- a/lib/liboriole/source/entry/job_service.cpp
+++ b/lib/liboriole/source/entry/job_service.cpp
@@ -1,4 +1,6 @@
 #include <oriole/entry/job_service.hpp>
+
+#include <oriole/entry/end_acknowledgement.hpp>
 #include <oriole/helpers/log.hpp>
 #include <oriole/helpers/random.hpp>
 
@@ -233,7 +235,7 @@
     for (const auto& task : worker.report.tasks) {
         const auto& id = task.attempt.id;
         const auto keeper = m_pages.find(id.organisation);
-        if (!isEnd(task.phase) || keeper == nullptr || m_driver.active(id))
+        if (keeper == nullptr || !mayAcknowledge(task, keeper->epoch()) || m_driver.active(id))
             continue;
         if (m_takeovers.contains({ id.organisation, id.job }))
             continue;
