Reports that come before the records are loaded are kept

Change: the latest report of each agent is kept until then; one of an agent that went away meanwhile is dropped. Test: fleet_scheduler_test, failing before.

--- a/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
+++ b/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
@@ -90,6 +90,7 @@
     store_mirror m_cancels;
     std::map<std::string, std::vector<waiting_start>> m_starts; ///< By job; sent once they are recorded.
     std::map<std::string, end_row> m_ends; ///< By agent.
+    std::map<std::string, worker_report> m_earlyReports; ///< Latest by agent, until the records are loaded.
     std::set<std::string> m_finished; ///< Jobs whose end was logged.
     std::set<run_id> m_stopping; ///< Stops without an answer yet.
     unsigned m_mirrorsLoaded = 0;
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -34,6 +34,7 @@
     , m_agents(m_outside.loop, epoch, settings.directory,
           { [this](const std::string& agent, const worker_report& report) { takeReport(agent, report); },
               [this](const std::string& agent) {
+                  m_earlyReports.erase(agent);
                   m_core.setUnreachable(agent);
                   decideSoon();
               },
@@ -94,6 +95,9 @@
     restoreJobs();
     for (const auto& [name, worker] : m_core.state().workers)
         m_agents.expect(name);
+    const auto early = std::exchange(m_earlyReports, {});
+    for (const auto& [agent, report] : early)
+        takeReport(agent, report);
     oriole::logEvent(oriole::log_level::Info, "records_loaded",
         { { "epoch", m_epoch }, { "jobs", m_core.state().jobs.size() }, { "live_runs", m_core.state().runs.size() },
             { "agents_connected", m_agents.connected() } });
@@ -170,9 +174,11 @@
 
 void fleet_scheduler::takeReport(const std::string& agent, const worker_report& report)
 {
-    // Before the records are loaded a report would show only runs without a record.
-    if (!m_decides)
+    // Before the records are loaded a report would show only runs without a record; the next may come a second later.
+    if (!m_decides) {
+        m_earlyReports[agent] = report;
         return;
+    }
     for (const auto& ended : report.ended) {
         if (!m_ends[agent].jobs.contains(ended.number) || m_ends[agent].life != report.worker.life) {
             oriole::logEvent(oriole::log_level::Info, "run_ended",
--- /dev/null
+++ b/tests/fleet/fleet_scheduler_test.cpp
@@ -0,0 +1,98 @@
+#include "core_fixture.hpp"
+#include "fake_store.hpp"
+
+#include <fleet/agent/agent_server.hpp>
+#include <fleet/records/job_codec.hpp>
+#include <fleet/scheduler/fleet_scheduler.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace fleet;
+using namespace fleet::test;
+
+namespace {
+
+constexpr auto agentAddress = "127.0.0.1:28441";
+constexpr std::uint64_t epoch = 5;
+
+/// @brief Takes every start; answers looks that wait only when their time has passed.
+class idle_worker final : public backend_runtime {
+public:
+    idle_worker(oriole::event_loop& loop, unsigned& starts)
+        : m_loop(loop)
+        , m_starts(starts)
+    {
+    }
+
+    void start(const start_order&, handler<start_answer> done) override
+    {
+        ++m_starts;
+        done(start_answer { true, {} });
+    }
+    void stop(const run_id&, std::uint64_t, handler<bool> done) override { done(true); }
+    void look(const look_request& request, handler<look_answer> done) override
+    {
+        m_loop.timers().subscribeOnce(request.wait, [done = std::move(done)](time_point) {
+            look_answer answer;
+            answer.clockMs = 1000;
+            answer.life.bornUnixMs = 1;
+            done(answer);
+        });
+    }
+
+private:
+    oriole::event_loop& m_loop;
+    unsigned& m_starts;
+};
+
+/// @brief A scheduler that took over while the store answers only when the test lets it.
+struct takeover_fixture {
+    takeover_fixture()
+    {
+        // The revision of the scheduler's record is the epoch.
+        store.revision = epoch - 1;
+        store.put(record_keys::scheduler, "e1/now");
+        auto waiting = job("0123456789abcdef", "batch", { step(1, 1) });
+        store.put(record_keys::jobs + waiting.id, encodeJob(waiting));
+        agent.takeHeartbeat({ workerReport("r1").worker, "127.0.0.1:1", 1 });
+        pass(milliseconds(20));
+        configuration rules;
+        rules.queues = { queue("batch", 2) };
+        scheduler.start(rules, {});
+        scheduler.announce("w1", agentAddress);
+    }
+
+    void pass(milliseconds time) { loop.after(time).wait(loop.io().waitScope); }
+
+    static fleet_scheduler::environment outside(takeover_fixture& self)
+    {
+        const auto now = [&self] { return self.loop.timers().now(); };
+        return { self.loop, self.store, self.metrics, now, now, [](time_point) {}, [](const std::string&) {} };
+    }
+
+    oriole::event_loop loop;
+    oriole::metrics_registry metrics;
+    fake_store store;
+    unsigned starts = 0;
+    worker_agent agent { loop.timers(), [this] { return loop.timers().now(); }, {},
+        [this](const worker_heartbeat&) { return std::make_unique<idle_worker>(loop, starts); } };
+    agent_server server { loop, agent, metrics, agentAddress };
+    fleet_scheduler scheduler { outside(*this), epoch, {} };
+};
+
+} // namespace
+
+TEST_CASE("an agent that reports before the records are loaded is given work as soon as they are", "[scheduler][take-over]")
+{
+    takeover_fixture fixture;
+    // The agent attaches and reports; its next report follows when its idle look ends, 1.2 s later.
+    fixture.pass(milliseconds(300));
+    CHECK(fixture.starts == 0);
+    for (unsigned i = 0; i < 40 && fixture.starts == 0; ++i) {
+        fixture.store.run();
+        fixture.pass(milliseconds(10));
+    }
+    CHECK(fixture.starts == 1);
+}
