Single copies of what the change wrote twice, and what it left dead

Found by reading the whole change again; behaviour stays as it is. Twice: the longest lease was worked out by agents and by the scheduler apart, though both rest on the same figure (agentTiming); the metrics listener was opened by both roles alike; an entry's own address was kept out of its peers in two places (entry_peers knows it now); names of order outcomes (toString beside the types); what a task holds of its worker in three places (step_spec::held); entry_node::fresh and freshAge asked the same three questions (fresh is freshAge with a value), peer_table::anyReadsStore and readerAge walked the same peers. Dead: progress_writer::m_busy, entry_peers::remove, job_row::cancelled (its state says it). Simpler: inet_pton for the parsing of addresses by hand. Ages are rounded up, so that no bound grew by the rounding.

--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -37,6 +37,9 @@
     Ending,
     Unanswered };
 
+std::string_view toString(start_outcome outcome);
+std::string_view toString(stop_outcome outcome);
+
 /// @brief Way to the scheduler that the agent obeys.
 class scheduler_link {
 public:
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -46,7 +46,6 @@
     accepted_job job;
     job_progress progress;
     time_point acceptedAt;
-    bool cancelled = false; ///< Its caller has cancelled it.
     time_point readySince; ///< When a unit of it last became ready.
     std::map<unsigned, double> fastestMs; ///< By step: shortest run time that progress has shown, near its data.
     std::map<unit_id, unsigned> evictions; ///< How often a unit gave way to urgent work.
--- a/lib/libfleet/include/fleet/entry/entry_peers.hpp
+++ b/lib/libfleet/include/fleet/entry/entry_peers.hpp
@@ -63,13 +63,14 @@
 /// @brief Calls other entries, each over a connection of its own that is kept.
 class entry_peers {
 public:
-    explicit entry_peers(oriole::event_loop& loop);
+    /// @param ownAddress Never asked, whoever names it.
+    explicit entry_peers(oriole::event_loop& loop, std::string ownAddress = {});
     ~entry_peers();
     entry_peers(const entry_peers&) = delete;
     entry_peers& operator=(const entry_peers&) = delete;
 
     void add(const std::string& address);
-    void remove(const std::string& address);
+    void add(const std::vector<std::string>& addresses);
     [[nodiscard]] bool empty() const { return m_peers.empty(); }
 
     /// @brief Hands a call to one peer after the other until one serves it.
@@ -87,6 +88,7 @@
     std::shared_ptr<peer> connected(const std::string& address);
 
     oriole::event_loop& m_loop;
+    std::string m_ownAddress;
     std::map<std::string, std::shared_ptr<peer>> m_peers;
     std::map<std::string, oriole::time_point> m_failedAt;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/lib/libfleet/include/fleet/model/job.hpp
+++ b/lib/libfleet/include/fleet/model/job.hpp
@@ -31,6 +31,9 @@
     unsigned targetMs = 0; ///< Tail latency that a lasting task has to keep; 0 for none.
 
     auto operator<=>(const step_spec&) const = default;
+
+    /// @brief What a task takes of its worker's room: work that fills idle time takes no cores.
+    [[nodiscard]] room held() const { return { fillsIdle ? 0 : need.millicores, need.memoryMb, need.accelerators }; }
 };
 
 struct job_spec {
--- a/lib/libfleet/include/fleet/scheduler/progress_writer.hpp
+++ b/lib/libfleet/include/fleet/scheduler/progress_writer.hpp
@@ -70,7 +70,6 @@
     handlers m_notify;
     std::map<std::string, row> m_rows;
     std::set<std::string> m_dirty;
-    std::size_t m_busy = 0;
     bool m_flushing = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/lib/libfleet/source/agent/agent_server.cpp
+++ b/lib/libfleet/source/agent/agent_server.cpp
@@ -71,32 +71,6 @@
     return rpc::StopOutcome::UNANSWERED;
 }
 
-std::string nameOf(start_outcome outcome)
-{
-    switch (outcome) {
-    case start_outcome::Accepted:
-        return "accepted";
-    case start_outcome::Refused:
-        return "refused";
-    case start_outcome::Unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
-std::string nameOf(stop_outcome outcome)
-{
-    switch (outcome) {
-    case stop_outcome::Absent:
-        return "absent";
-    case stop_outcome::Ending:
-        return "ending";
-    case stop_outcome::Unanswered:
-        return "unanswered";
-    }
-    return "unanswered";
-}
-
 class agent_service final : public rpc::Agent::Server {
 public:
     agent_service(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics)
@@ -129,10 +103,10 @@
         auto answer = oriole::makePromiseCallback<start_result>();
         m_agent.start(params.getEpoch(), readLife(params.getLife()), std::move(order),
             [this, run = *run, epoch = params.getEpoch(), resolve = answer.resolve](start_outcome outcome, std::string reason) {
-                m_metrics.counter("oriole_start_orders_total", { { "outcome", nameOf(outcome) } }).add();
+                m_metrics.counter("oriole_start_orders_total", { { "outcome", std::string(toString(outcome)) } }).add();
                 oriole::logEvent(oriole::log_level::Info, "start_order",
                     { { "task", toString(run.task) }, { "attempt", run.attempt }, { "epoch", epoch },
-                        { "outcome", nameOf(outcome) }, { "reason", reason } });
+                        { "outcome", toString(outcome) }, { "reason", reason } });
                 resolve({ outcome, std::move(reason) });
             });
         return answer.promise.then([context](const start_result& result) mutable {
@@ -151,9 +125,9 @@
         auto answer = oriole::makePromiseCallback<stop_outcome>();
         m_agent.stop(params.getEpoch(), readLife(params.getLife()), *run, answer.resolve);
         return answer.promise.then([this, context, run = *run](stop_outcome outcome) mutable {
-            m_metrics.counter("oriole_stop_orders_total", { { "outcome", nameOf(outcome) } }).add();
+            m_metrics.counter("oriole_stop_orders_total", { { "outcome", std::string(toString(outcome)) } }).add();
             oriole::logEvent(oriole::log_level::Info, "stop_order",
-                { { "task", toString(run.task) }, { "attempt", run.attempt }, { "outcome", nameOf(outcome) } });
+                { { "task", toString(run.task) }, { "attempt", run.attempt }, { "outcome", toString(outcome) } });
             context.getResults().setOutcome(toWire(outcome));
         });
     }
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -38,6 +38,32 @@
 
 } // namespace
 
+std::string_view toString(start_outcome outcome)
+{
+    switch (outcome) {
+    case start_outcome::Accepted:
+        return "accepted";
+    case start_outcome::Refused:
+        return "refused";
+    case start_outcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+std::string_view toString(stop_outcome outcome)
+{
+    switch (outcome) {
+    case stop_outcome::Absent:
+        return "absent";
+    case stop_outcome::Ending:
+        return "ending";
+    case stop_outcome::Unanswered:
+        return "unanswered";
+    }
+    return "unanswered";
+}
+
 struct worker_agent::stop_request {
     run_id run;
     std::uint64_t epoch = 0;
--- a/lib/libfleet/source/core/placement.cpp
+++ b/lib/libfleet/source/core/placement.cpp
@@ -133,10 +133,7 @@
         return false;
     if (!request.step->requirement.empty() && !about.hasLabel(request.step->requirement))
         return false;
-    auto need = request.step->need;
-    if (request.step->fillsIdle)
-        need.millicores = 0;
-    return need.fits(about.capacity);
+    return request.step->held().fits(about.capacity);
 }
 
 std::optional<std::vector<std::string>> findPlaces(const tables& state, const placement_request& request, time_point now)
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -19,14 +19,6 @@
 // Progress is rated from here on: the start and the restoring of a checkpoint take up to 800 ms.
 constexpr milliseconds settleTime { 1000 };
 
-room needOf(const step_spec& step)
-{
-    auto need = step.need;
-    if (step.fillsIdle)
-        need.millicores = 0;
-    return need;
-}
-
 double secondsBetween(time_point from, time_point to)
 {
     return std::chrono::duration<double>(to - from).count();
@@ -75,7 +67,7 @@
                 run.id = { { job.job.id, k, s, i }, tasks[i].attempt };
                 run.worker = tasks[i].worker;
                 run.life = tasks[i].life;
-                run.need = needOf(job.job.spec.steps[s]);
+                run.need = job.job.spec.steps[s].held();
                 run.expectedMs = static_cast<double>(job.job.spec.steps[s].runTimeMs);
                 run.placedAt = run.advancedAt = run.windowAt = run.checkpointAt = now;
                 run.unconfirmed = true;
@@ -89,13 +81,10 @@
 void scheduler_core::cancelJob(const std::string& id)
 {
     const auto job = m_state.jobs.find(id);
-    if (job == m_state.jobs.end() || job->second.cancelled)
+    if (job == m_state.jobs.end() || isFinal(job->second.progress.state))
         return;
-    job->second.cancelled = true;
-    if (!isFinal(job->second.progress.state)) {
-        job->second.progress.state = job_state::Cancelled;
-        m_changed.insert(id);
-    }
+    job->second.progress.state = job_state::Cancelled;
+    m_changed.insert(id);
 }
 
 const job_row* scheduler_core::findJob(const std::string& id) const
@@ -202,7 +191,7 @@
     if (const auto job = m_state.jobs.find(seen.run.task.job); job != m_state.jobs.end()) {
         const auto& steps = job->second.job.spec.steps;
         if (seen.run.task.step < steps.size())
-            run.need = needOf(steps[seen.run.task.step]);
+            run.need = steps[seen.run.task.step].held();
     }
     run.placedAt = now;
     m_state.workers[worker].used += run.need;
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -332,9 +332,7 @@
         run.id = { { unit.job, unit.occurrence, unit.step, first + i }, attempt };
         run.worker = workers[i];
         run.life = task.life;
-        run.need = step.need;
-        if (step.fillsIdle)
-            run.need.millicores = 0;
+        run.need = step.held();
         run.expectedMs = static_cast<double>(step.runTimeMs) * spread;
         run.spread = spread;
         run.placedAt = run.advancedAt = run.windowAt = run.checkpointAt = now;
--- a/lib/libfleet/source/entry/entry_peers.cpp
+++ b/lib/libfleet/source/entry/entry_peers.cpp
@@ -97,8 +97,9 @@
     std::function<void(relay_outcome)> done;
 };
 
-entry_peers::entry_peers(oriole::event_loop& loop)
+entry_peers::entry_peers(oriole::event_loop& loop, std::string ownAddress)
     : m_loop(loop)
+    , m_ownAddress(std::move(ownAddress))
 {
 }
 
@@ -109,12 +110,14 @@
 
 void entry_peers::add(const std::string& address)
 {
-    m_peers.try_emplace(address);
+    if (address != m_ownAddress)
+        m_peers.try_emplace(address);
 }
 
-void entry_peers::remove(const std::string& address)
+void entry_peers::add(const std::vector<std::string>& addresses)
 {
-    m_peers.erase(address);
+    for (const auto& address : addresses)
+        add(address);
 }
 
 std::shared_ptr<entry_peers::peer> entry_peers::connected(const std::string& address)
--- a/lib/libfleet/source/entry/fleet_entry.cpp
+++ b/lib/libfleet/source/entry/fleet_entry.cpp
@@ -60,7 +60,7 @@
     m_schedulerRecord.start([this](const record_change& change) { m_leadership.recordChanged(!change.removed); }, {});
     m_entries.start(
         [this](const record_change& change) {
-            if (!change.removed && change.item.value != m_address)
+            if (!change.removed)
                 m_outside.peers.add(change.item.value);
         },
         {});
--- a/lib/libfleet/source/http/http_client.cpp
+++ b/lib/libfleet/source/http/http_client.cpp
@@ -2,10 +2,12 @@
 
 #include <fleet/rpc/streams.hpp>
 
+#include <arpa/inet.h>
 #include <kj/debug.h>
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace fleet {
 
@@ -52,13 +54,8 @@
     sockaddr_in target {};
     target.sin_family = AF_INET;
     target.sin_port = htons(static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
-    std::uint32_t ip = 0;
-    std::size_t start = 0;
-    for (int part = 0; part < 4; ++part) {
-        ip = (ip << 8U) + static_cast<std::uint32_t>(std::stoul(address.substr(start)));
-        start = address.find('.', start) + 1;
-    }
-    target.sin_addr.s_addr = htonl(ip);
+    if (inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr) != 1)
+        throw std::invalid_argument("no IPv4 address: " + address);
     return loop.io().provider->getNetwork().getSockaddr(&target, sizeof(target));
 }
 
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -336,7 +336,7 @@
                 return m_core.startAccepted(id, now);
             oriole::logEvent(oriole::log_level::Info, "start_not_accepted",
                 { { "task", toString(id.task) }, { "attempt", id.attempt }, { "reason", reason },
-                    { "outcome", outcome == start_outcome::Refused ? "refused" : "unknown" } });
+                    { "outcome", toString(outcome) } });
             if (outcome == start_outcome::Refused)
                 m_core.startRefused(id, reason == "room", now);
             else
--- a/lib/libfleet/source/scheduler/progress_writer.cpp
+++ b/lib/libfleet/source/scheduler/progress_writer.cpp
@@ -102,14 +102,11 @@
         if (entry.recordedState != states.back())
             transaction.writes.push_back({ record_keys::status + job, encodeStatus({ source.queue, states.back() }) });
     }
-    ++m_busy;
     const auto sentAt = m_clock();
     m_store.commit(std::move(transaction),
         [this, jobs, states, sentAt, alive = m_alive](const result<commit_outcome>& outcome) {
-            if (!*alive)
-                return;
-            --m_busy;
-            take(jobs, states, sentAt, outcome);
+            if (*alive)
+                take(jobs, states, sentAt, outcome);
         });
 }
 
--- a/lib/liboriole/include/oriole/entry/entry_node.hpp
+++ b/lib/liboriole/include/oriole/entry/entry_node.hpp
@@ -39,8 +39,8 @@
     /// @brief True while this entry may start work: it knows that its control view is current.
     [[nodiscard]] bool fresh() const;
 
-    /// @brief How long ago the exchange began by which this entry is fresh.
-    [[nodiscard]] milliseconds freshAge() const;
+    /// @brief How long ago the exchange began by which this entry is fresh; no value when it is not.
+    [[nodiscard]] std::optional<milliseconds> freshAge() const;
 
     /// @brief The configuration in force, or a refusal while there is none, the view is stale or the entry stops.
     [[nodiscard]] result<std::shared_ptr<const configuration_head>> usableConfiguration() const;
--- a/lib/liboriole/source/entry/control_keeper.cpp
+++ b/lib/liboriole/source/entry/control_keeper.cpp
@@ -61,12 +61,12 @@
 
 bool control_keeper::readsStore() const
 {
-    return m_everRead && m_timers.now() - m_lastRead <= freshnessLimit;
+    return m_everRead && readAge() <= freshnessLimit;
 }
 
 milliseconds control_keeper::readAge() const
 {
-    return std::chrono::duration_cast<milliseconds>(m_timers.now() - m_lastRead);
+    return std::chrono::ceil<milliseconds>(m_timers.now() - m_lastRead);
 }
 
 void control_keeper::poll()
--- a/lib/liboriole/source/entry/entry_node.cpp
+++ b/lib/liboriole/source/entry/entry_node.cpp
@@ -122,16 +122,18 @@
 
 bool entry_node::fresh() const
 {
-    // Nobody who could be asked reads the store: no change can have been accepted, unless by an entry that is silent.
-    return control.readsStore() || peers.anyReadsStore() || peers.noneSilent();
+    return freshAge().has_value();
 }
 
-milliseconds entry_node::freshAge() const
+std::optional<milliseconds> entry_node::freshAge() const
 {
     auto age = peers.readerAge();
     if (control.readsStore())
         age = std::min(age.value_or(control.readAge()), control.readAge());
-    return age.value_or(peers.longestSilence());
+    // Nobody who could be asked reads the store: no change can have been accepted, unless by an entry that is silent.
+    if (!age && peers.noneSilent())
+        age = peers.longestSilence();
+    return age;
 }
 
 result<std::shared_ptr<const configuration_head>> entry_node::usableConfiguration() const
@@ -182,8 +184,9 @@
 
 void entry_node::writeView(rpc::ControlView::Builder target, const rpc::view_receiver& receiver)
 {
-    rpc::write(target, control.state(), liveAddresses(), fresh(), m_leaving, receiver);
-    target.setFreshAgeMs(static_cast<std::uint32_t>(std::max(freshAge(), milliseconds(0)).count()));
+    const auto age = freshAge();
+    rpc::write(target, control.state(), liveAddresses(), age.has_value(), m_leaving, receiver);
+    target.setFreshAgeMs(static_cast<std::uint32_t>(std::max(age.value_or(milliseconds(0)), milliseconds(0)).count()));
 }
 
 std::vector<std::string> entry_node::liveEntries() const
--- a/lib/liboriole/source/entry/peer_table.cpp
+++ b/lib/liboriole/source/entry/peer_table.cpp
@@ -433,8 +433,7 @@
 
 bool peer_table::anyReadsStore() const
 {
-    return std::any_of(m_peers.begin(), m_peers.end(),
-        [&](const auto& item) { return live(item.second) && item.second.state.readsStore; });
+    return readerAge().has_value();
 }
 
 std::optional<milliseconds> peer_table::readerAge() const
@@ -444,7 +443,7 @@
     for (const auto& [key, known] : m_peers) {
         if (!live(known) || !known.state.readsStore)
             continue;
-        const auto age = std::chrono::duration_cast<milliseconds>(now - known.lastHeard);
+        const auto age = std::chrono::ceil<milliseconds>(now - known.lastHeard);
         least = std::min(least.value_or(age), age);
     }
     return least;
@@ -456,7 +455,7 @@
     const auto now = m_loop.timers().now();
     for (const auto& [key, known] : m_peers) {
         if (live(known))
-            longest = std::max(longest, std::chrono::duration_cast<milliseconds>(now - known.lastHeard));
+            longest = std::max(longest, std::chrono::ceil<milliseconds>(now - known.lastHeard));
     }
     return longest;
 }
--- a/main/oriolefleetd/source/agent_process.cpp
+++ b/main/oriolefleetd/source/agent_process.cpp
@@ -1,6 +1,7 @@
 #include "agent_process.hpp"
 
 #include "boot_clock.hpp"
+#include "process_parts.hpp"
 
 #include <heartbeat_api.hpp>
 #include <runtime_adapter.hpp>
@@ -9,7 +10,6 @@
 
 #include <fleet/agent/agent_server.hpp>
 #include <fleet/entry/fleet_entry.hpp>
-#include <fleet/http/metrics_listener.hpp>
 
 #include <oriole/helpers/log.hpp>
 
@@ -23,13 +23,6 @@
 constexpr milliseconds announcePeriod { 2500 };
 constexpr milliseconds announceRetry { 300 };
 
-fleet::agent_timing agentTiming(const platform::node_settings& settings)
-{
-    fleet::agent_timing timing;
-    timing.lease = std::min(fleet::agent_timing().lease, settings.longestLease);
-    return timing;
-}
-
 class agent_process {
 public:
     agent_process(const platform::node_settings& settings, const process_options& options)
@@ -39,12 +32,11 @@
               [this](const fleet::worker_heartbeat& worker) { return std::make_unique<platform::runtime_adapter>(m_loop, worker); })
         , m_heartbeats(m_loop, settings.heartbeatAddress, m_agent)
         , m_server(m_loop, m_agent, m_metrics, settings.rpcAddress)
-        , m_entries(m_loop)
-        , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { addSeeds(changed); })
+        , m_entries(m_loop, settings.rpcAddress)
+        , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { m_entries.add(changed.seeds); })
+        , m_metricsListener(openMetrics(m_loop, m_metrics, settings, options))
     {
-        addSeeds(settings);
-        if (options.metricsPort != 0)
-            m_metricsListener = fleet::serveMetrics(m_loop, m_metrics, settings.ip + ":" + std::to_string(options.metricsPort));
+        m_entries.add(settings.seeds);
     }
 
     int run()
@@ -59,12 +51,6 @@
     }
 
 private:
-    void addSeeds(const platform::node_settings& settings)
-    {
-        for (const auto& seed : settings.seeds)
-            m_entries.add(seed);
-    }
-
     /// An agent that no scheduler has attached to writes its address again, which schedulers hear.
     void announce()
     {
--- a/main/oriolefleetd/source/entry_process.cpp
+++ b/main/oriolefleetd/source/entry_process.cpp
@@ -1,6 +1,7 @@
 #include "entry_process.hpp"
 
 #include "boot_clock.hpp"
+#include "process_parts.hpp"
 
 #include <caller_api.hpp>
 #include <operator_channel.hpp>
@@ -8,7 +9,6 @@
 #include <store_adapter.hpp>
 
 #include <fleet/entry/fleet_entry.hpp>
-#include <fleet/http/metrics_listener.hpp>
 
 #include <oriole/helpers/log.hpp>
 
@@ -33,7 +33,7 @@
     fleet::scheduler_settings out;
     out.core.spreadFactor = settings.spreadFactor;
     out.core.gangTimeout = settings.gangTimeout;
-    out.directory.agents.lease = std::min(fleet::agent_timing().lease, settings.longestLease);
+    out.directory.agents = agentTiming(settings);
     return out;
 }
 
@@ -45,7 +45,7 @@
         , m_store(m_loop, settings.storeAddress)
         , m_control(m_store, m_loop.timers(), bootClock, settings.failureDomains)
         , m_desk(m_store, m_loop.timers())
-        , m_peers(m_loop)
+        , m_peers(m_loop, settings.rpcAddress)
         , m_entry({ m_loop, m_store, m_control, m_metrics, bootClock, m_peers }, settings.name, settings.rpcAddress,
               schedulerSettings(settings))
         , m_api({ m_loop, m_desk, m_control, m_peers, m_metrics, bootClock, viewFreshness })
@@ -54,11 +54,10 @@
               [this](const fleet::incoming_request& request, const auto& respond) { m_api.handle(request, respond); })
         , m_ready(m_loop, { settings.readyAddress, {}, 1024 },
               [this](const fleet::incoming_request&, const auto& respond) { respond({ isReady() ? 200U : 503U, "{}", {} }); })
-        , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { addSeeds(changed); })
+        , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { m_peers.add(changed.seeds); })
+        , m_metricsListener(openMetrics(m_loop, m_metrics, settings, options))
     {
-        addSeeds(settings);
-        if (options.metricsPort != 0)
-            m_metricsListener = fleet::serveMetrics(m_loop, m_metrics, settings.ip + ":" + std::to_string(options.metricsPort));
+        m_peers.add(settings.seeds);
     }
 
     int run()
@@ -75,14 +74,6 @@
     }
 
 private:
-    void addSeeds(const platform::node_settings& settings)
-    {
-        for (const auto& seed : settings.seeds) {
-            if (seed != m_settings.rpcAddress)
-                m_peers.add(seed);
-        }
-    }
-
     void serve(const fleet::relayed_call& call, std::function<void(fleet::relayed_answer)> done) override
     {
         m_api.serveRelayed(call, std::move(done));
--- /dev/null
+++ b/main/oriolefleetd/source/process_parts.cpp
@@ -0,0 +1,23 @@
+#include "process_parts.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace fleetd {
+
+fleet::agent_timing agentTiming(const platform::node_settings& settings)
+{
+    fleet::agent_timing timing;
+    timing.lease = std::min(timing.lease, settings.longestLease);
+    return timing;
+}
+
+std::unique_ptr<fleet::http_listener> openMetrics(oriole::event_loop& loop, const oriole::metrics_registry& metrics,
+    const platform::node_settings& settings, const process_options& options)
+{
+    if (options.metricsPort == 0)
+        return nullptr;
+    return fleet::serveMetrics(loop, metrics, settings.ip + ":" + std::to_string(options.metricsPort));
+}
+
+} // namespace fleetd
