Live runs are indexed by worker; a step is classed once a decision

Found by reading the whole change again: each agent's report walked all live runs of the fleet four times (missing runs, other lives, lost workers, stops to send again), stops of a unit and gangs' presence as well, and every waiting task of a step was classed anew, each working out its job's objective twice. Behaviour stays as it is. Change: addRun and removeRun keep the worker's room and its runs together (three copies of the same lines before); walks go over the worker's or the step's own runs. Test: a property over random events, that each worker's index and room are those of its runs.

--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -33,6 +33,7 @@
     worker_description about;
     bool reachable = false; ///< Its agent takes orders now.
     room used; ///< By all live runs, also those that are being stopped.
+    std::set<run_id> runs; ///< These runs.
     room reserved; ///< Held for units whose room is being made.
     double badness = 0; ///< Rises with failures that others do not share, falls with successes.
     time_point badnessAt; ///< When it last rose.
@@ -102,6 +103,18 @@
 /// @brief Rules of a job's queue; when the queue was removed, those of a queue that comes last.
 queue_rule ruleOf(const tables& state, const job_row& job);
 
+/// @brief Takes a live run in, and its worker's room.
+live_run& addRun(tables& state, live_run run);
+
+/// @brief Takes a live run out and gives its worker's room back.
+live_run removeRun(tables& state, std::map<run_id, live_run>::iterator run);
+
+/// @brief First of the live runs of a step's tasks; those that follow it with the same step are the others.
+std::map<run_id, live_run>::const_iterator firstRunOf(const tables& state, const task_id& task);
+
+/// @brief Whether two tasks belong to one step of one occurrence.
+bool isSameStep(const task_id& left, const task_id& right);
+
 [[nodiscard]] unit_id unitOf(const tables& state, const task_id& task);
 
 } // namespace fleet
--- a/lib/libfleet/source/core/objective.cpp
+++ b/lib/libfleet/source/core/objective.cpp
@@ -17,6 +17,12 @@
     return job.acceptedAt + milliseconds(due - job.job.acceptedUnixMs);
 }
 
+milliseconds slackWithin(milliseconds objective, const job_row& job, const unit_id& unit, time_point now)
+{
+    const auto end = handedIn(job, unit.occurrence) + objective;
+    return std::chrono::duration_cast<milliseconds>(end - now) - chainFrom(job.job.spec, unit.step);
+}
+
 } // namespace
 
 double workOf(const job_spec& spec)
@@ -56,16 +62,14 @@
 
 milliseconds slackOf(const tables& state, const job_row& job, const unit_id& unit, time_point now)
 {
-    const auto rule = ruleOf(state, job);
-    const auto end = handedIn(job, unit.occurrence) + objectiveOf(job.job.spec, rule);
-    return std::chrono::duration_cast<milliseconds>(end - now) - chainFrom(job.job.spec, unit.step);
+    return slackWithin(objectiveOf(job.job.spec, ruleOf(state, job)), job, unit, now);
 }
 
 pending_unit classify(const tables& state, const job_row& job, const unit_id& unit, time_point now)
 {
     const auto rule = ruleOf(state, job);
-    const auto slack = slackOf(state, job, unit, now);
     const auto objective = objectiveOf(job.job.spec, rule);
+    const auto slack = slackWithin(objective, job, unit, now);
     pending_unit entry { rule.priority, prospect::InTime, static_cast<double>(slack.count()), unit };
     if (slack.count() >= 0)
         return entry;
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -71,8 +71,7 @@
                 run.expectedMs = static_cast<double>(job.job.spec.steps[s].runTimeMs);
                 run.placedAt = run.advancedAt = run.windowAt = run.checkpointAt = now;
                 run.unconfirmed = true;
-                m_state.workers[run.worker].used += run.need;
-                m_state.runs.emplace(run.id, std::move(run));
+                addRun(m_state, std::move(run));
             }
         }
     }
@@ -194,8 +193,7 @@
             run.need = steps[seen.run.task.step].held();
     }
     run.placedAt = now;
-    m_state.workers[worker].used += run.need;
-    auto& added = m_state.runs.emplace(run.id, std::move(run)).first->second;
+    auto& added = addRun(m_state, std::move(run));
     stop(added, "no record of it", now);
 }
 
@@ -204,8 +202,9 @@
     const auto isListed = [&](const run_id& id) {
         return std::any_of(report.active.begin(), report.active.end(), [&](const auto& seen) { return seen.run == id; });
     };
-    for (auto& [id, run] : m_state.runs) {
-        if (run.worker != worker || run.phase == run_phase::Stopping || isListed(id))
+    for (const auto& id : m_state.workers[worker].runs) {
+        auto& run = m_state.runs.at(id);
+        if (run.phase == run_phase::Stopping || isListed(id))
             continue;
         if (!run.missingSince && run.phase == run_phase::Active)
             run.missingSince = now;
@@ -223,8 +222,8 @@
 void scheduler_core::loseOtherLives(const std::string& worker, const worker_life& life, time_point now)
 {
     std::vector<run_id> lost;
-    for (const auto& [id, run] : m_state.runs) {
-        if (run.worker == worker && run.life != life)
+    for (const auto& id : m_state.workers[worker].runs) {
+        if (m_state.runs.at(id).life != life)
             lost.push_back(id);
     }
     for (const auto& id : lost)
@@ -233,11 +232,7 @@
 
 void scheduler_core::loseWorker(const std::string& worker, time_point now)
 {
-    std::vector<run_id> lost;
-    for (const auto& [id, run] : m_state.runs) {
-        if (run.worker == worker)
-            lost.push_back(id);
-    }
+    const auto lost = m_state.workers[worker].runs;
     for (const auto& id : lost)
         settle(id, run_end::Lost, {}, now);
 }
@@ -280,10 +275,7 @@
     const auto found = m_state.runs.find(id);
     if (found == m_state.runs.end())
         return;
-    const auto run = found->second;
-    m_state.runs.erase(found);
-    m_state.workers[run.worker].used -= run.need;
-
+    const auto run = removeRun(m_state, found);
     const auto job = m_state.jobs.find(id.task.job);
     if (job == m_state.jobs.end())
         return;
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -80,8 +80,10 @@
 
 void scheduler_core::stopUnit(const unit_id& unit, const std::string& reason, time_point now)
 {
-    for (auto& [id, run] : m_state.runs) {
-        if (run.phase != run_phase::Stopping && unitOf(m_state, id.task) == unit)
+    const task_id first { unit.job, unit.occurrence, unit.step, unit.index };
+    for (auto entry = firstRunOf(m_state, first); entry != m_state.runs.end() && isSameStep(entry->first.task, first); ++entry) {
+        auto& run = m_state.runs.at(entry->first);
+        if (run.phase != run_phase::Stopping && unitOf(m_state, entry->first.task) == unit)
             stop(run, reason, now);
     }
 }
@@ -176,14 +178,19 @@
                     continue;
                 const auto& tasks = occurrences[k].steps[s];
                 const auto waits = [](const task_progress& task) { return task.status == task_status::Waiting; };
+                if (std::none_of(tasks.begin(), tasks.end(), waits))
+                    continue;
+                // All tasks of a step are classed alike.
+                auto entry = classify(m_state, job, { id, k, s, 0 }, now);
                 if (job.job.spec.steps[s].gang) {
                     if (std::all_of(tasks.begin(), tasks.end(), waits))
-                        pending.push_back(classify(m_state, job, { id, k, s, 0 }, now));
+                        pending.push_back(std::move(entry));
                     continue;
                 }
                 for (unsigned i = 0; i < tasks.size(); ++i) {
+                    entry.unit.index = i;
                     if (waits(tasks[i]))
-                        pending.push_back(classify(m_state, job, { id, k, s, i }, now));
+                        pending.push_back(entry);
                 }
             }
         }
@@ -323,7 +330,7 @@
 
     for (unsigned i = 0; i < workers.size(); ++i) {
         auto& task = tasks[first + i];
-        auto& worker = m_state.workers.at(workers[i]);
+        const auto& worker = m_state.workers.at(workers[i]);
         task.status = task_status::Live;
         task.attempt = attempt;
         task.worker = workers[i];
@@ -336,9 +343,8 @@
         run.expectedMs = static_cast<double>(step.runTimeMs) * spread;
         run.spread = spread;
         run.placedAt = run.advancedAt = run.windowAt = run.checkpointAt = now;
-        worker.used += run.need;
         m_effects.emplace_back(start_effect { run.id, run.worker, run.life, checkpoint, spread, slack });
-        m_state.runs.emplace(run.id, std::move(run));
+        addRun(m_state, std::move(run));
     }
     updateState(row.progress, row.job.spec);
     m_changed.insert(unit.job);
--- a/lib/libfleet/source/core/stragglers.cpp
+++ b/lib/libfleet/source/core/stragglers.cpp
@@ -30,12 +30,11 @@
 
 bool isGangPresent(const tables& state, const live_run& run)
 {
-    return std::all_of(state.runs.begin(), state.runs.end(), [&](const auto& entry) {
-        const auto& [id, other] = entry;
-        const bool member = id.task.job == run.id.task.job && id.task.occurrence == run.id.task.occurrence
-            && id.task.step == run.id.task.step;
-        return !member || (other.phase == run_phase::Active && other.seen);
-    });
+    for (auto entry = firstRunOf(state, run.id.task); entry != state.runs.end() && isSameStep(entry->first.task, run.id.task); ++entry) {
+        if (entry->second.phase != run_phase::Active || !entry->second.seen)
+            return false;
+    }
+    return true;
 }
 
 /// @brief How long the whole run takes at its present rate, as if near its data.
@@ -60,9 +59,10 @@
 {
     unsigned rated = 0;
     unsigned slow = 0;
-    for (const auto& [id, run] : state.runs) {
+    for (const auto& id : state.workers.at(suspect.worker).runs) {
+        const auto& run = state.runs.at(id);
         const auto owner = state.jobs.find(id.task.job);
-        if (run.worker != suspect.worker || run.phase != run_phase::Active || run.ratePercent <= 0 || owner == state.jobs.end())
+        if (run.phase != run_phase::Active || run.ratePercent <= 0 || owner == state.jobs.end())
             continue;
         ++rated;
         if (slownessOf(run, owner->second) > slowFactor)
--- a/lib/libfleet/source/core/tables.cpp
+++ b/lib/libfleet/source/core/tables.cpp
@@ -1,6 +1,6 @@
 #include <fleet/core/tables.hpp>
 
-#include <limits>
+#include <utility>
 
 namespace fleet {
 
@@ -24,6 +24,35 @@
     return removed;
 }
 
+live_run& addRun(tables& state, live_run run)
+{
+    auto& worker = state.workers[run.worker];
+    worker.used += run.need;
+    worker.runs.insert(run.id);
+    const auto id = run.id;
+    return state.runs.emplace(id, std::move(run)).first->second;
+}
+
+live_run removeRun(tables& state, std::map<run_id, live_run>::iterator run)
+{
+    auto removed = std::move(run->second);
+    state.runs.erase(run);
+    auto& worker = state.workers[removed.worker];
+    worker.used -= removed.need;
+    worker.runs.erase(removed.id);
+    return removed;
+}
+
+std::map<run_id, live_run>::const_iterator firstRunOf(const tables& state, const task_id& task)
+{
+    return state.runs.lower_bound({ { task.job, task.occurrence, task.step, 0 }, 0 });
+}
+
+bool isSameStep(const task_id& left, const task_id& right)
+{
+    return left.job == right.job && left.occurrence == right.occurrence && left.step == right.step;
+}
+
 unit_id unitOf(const tables& state, const task_id& task)
 {
     unit_id unit { task.job, task.occurrence, task.step, task.index };
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -194,8 +194,9 @@
         m_writer.change(job);
     acknowledgeEnds(agent);
     // A stop that was not answered is sent again now that the agent is there.
-    for (const auto& [id, run] : m_core.state().runs) {
-        if (run.worker == agent && run.phase == run_phase::Stopping && !m_stopping.contains(id))
+    const auto& state = m_core.state();
+    for (const auto& id : state.workers.at(agent).runs) {
+        if (state.runs.at(id).phase == run_phase::Stopping && !m_stopping.contains(id))
             sendStop(id);
     }
     // Progress alone is looked at with the next tick.
--- /dev/null
+++ b/tests/fleet/core_tables_test.cpp
@@ -0,0 +1,74 @@
+#include "core_fixture.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace fleet;
+using namespace fleet::test;
+
+namespace {
+
+/// @brief Each worker's runs and used room are those of the live runs on it.
+void requireConsistent(const tables& state)
+{
+    std::map<std::string, std::set<run_id>> runs;
+    std::map<std::string, room> used;
+    for (const auto& [id, run] : state.runs) {
+        RC_ASSERT(id == run.id);
+        runs[run.worker].insert(id);
+        used[run.worker] += run.need;
+    }
+    for (const auto& [name, worker] : state.workers) {
+        RC_ASSERT(worker.runs == runs[name]);
+        RC_ASSERT(worker.used == used[name]);
+    }
+}
+
+run_id anyRun(const tables& state)
+{
+    const auto place = *rc::gen::inRange<std::size_t>(0, state.runs.size());
+    return std::next(state.runs.begin(), static_cast<std::ptrdiff_t>(place))->first;
+}
+
+} // namespace
+
+TEST_CASE("whatever happens to runs, each worker's index and used room are those of its runs", "[core][tables]")
+{
+    REQUIRE(rc::check([] {
+        core_fixture fixture;
+        unsigned jobs = 0;
+        const std::vector<std::string> workers { "w1", "w2", "w3" };
+        for (const auto& worker : workers)
+            fixture.report(worker, workerReport("r1"));
+        for (int turn = 0; turn < 40; ++turn) {
+            fixture.now += milliseconds(*rc::gen::inRange(50, 900));
+            const auto worker = *rc::gen::elementOf(workers);
+            const auto& runs = fixture.core.state().runs;
+            const int event = *rc::gen::inRange(0, 8);
+            if (event <= 1) {
+                auto one = step(*rc::gen::inRange(1U, 5U), *rc::gen::inRange(1, 9));
+                one.gang = *rc::gen::arbitrary<bool>();
+                one.fillsIdle = *rc::gen::arbitrary<bool>();
+                fixture.add(job("j" + std::to_string(jobs++), event == 0 ? "batch" : "urgent", { one }));
+            } else if (event == 2 && !runs.empty()) {
+                const auto run = anyRun(fixture.core.state());
+                const auto how = *rc::gen::element(run_end::Done, run_end::Failed, run_end::Stopped, run_end::Broken);
+                fixture.end(runs.at(run).worker, workerReport("r1"), run, how);
+            } else if (event == 3) {
+                fixture.report(worker, workerReport("r1", 8, *rc::gen::element<std::string>("i", "k")));
+            } else if (event == 4) {
+                fixture.core.loseWorker(worker, fixture.now);
+            } else if (event == 5 && !runs.empty()) {
+                fixture.core.startRefused(anyRun(fixture.core.state()), true, fixture.now);
+            } else if (event == 6) {
+                auto report = workerReport("r1");
+                report.active.push_back({ { { "stray", 0, 0, static_cast<unsigned>(turn) }, 1 }, {}, 5 });
+                fixture.core.takeReport(worker, report, fixture.now);
+            } else if (jobs > 0) {
+                fixture.core.cancelJob("j" + std::to_string(*rc::gen::inRange(0U, jobs)));
+            }
+            fixture.decide();
+            requireConsistent(fixture.core.state());
+        }
+    }));
+}
