Log why urgent work is deferred

Cause: between job_loaded and run_placed the log had no event, so it could not tell why guaranteed work waited. Change: the core reports deferrals (reason, guarantee, wait, victims, lost work, runs that are awaited without a stop); the scheduler logs them as placement_deferred and counts them; run_placed carries waited_ms and within_guarantee. No decision changes.

--- a/lib/libfleet/include/fleet/core/eviction.hpp
+++ b/lib/libfleet/include/fleet/core/eviction.hpp
@@ -8,6 +8,10 @@
 
 namespace fleet {
 
+/// @brief A run that ends within this time is not evicted: stopping it and receiving the report of its end would take half
+/// of this time.
+constexpr milliseconds nearEndLimit { 700 };
+
 struct eviction_plan {
     std::vector<std::string> workers; ///< Worker of each task of the unit to be placed.
     std::set<unit_id> victims;
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -7,8 +7,10 @@
 #include <fleet/core/placement.hpp>
 #include <fleet/core/tables.hpp>
 
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -22,6 +24,8 @@
     std::string checkpoint;
     double slowdown = 1; ///< Factor by which its run time grows away from its data or from the rest of its gang.
     milliseconds slack { 0 }; ///< Slack to the job's objective when the run was placed.
+    milliseconds waited { 0 }; ///< Time since the job was accepted.
+    bool withinGuarantee = false; ///< Whether the job was within its organisation's guarantee.
 };
 
 /// @brief A run to be stopped. The worker may not have it.
@@ -34,6 +38,31 @@
     double lossCoreSeconds = 0; ///< Work that is lost by the stop.
 };
 
+enum class deferral_reason {
+    WaitsForRuns, ///< Resources are reserved that live runs are expected to free in time.
+    WaitsForEvictions, ///< Resources are reserved that evicted runs free.
+    OverBudget, ///< An eviction is possible, but more work would be lost than the unit is worth.
+    NoPlan, ///< The unit does not fit even after evictions.
+};
+
+std::string_view toString(deferral_reason reason);
+
+/// @brief Why a unit of priority 0 was not placed, with the inputs of the decision.
+struct placement_deferral {
+    unit_id unit;
+    deferral_reason reason = deferral_reason::NoPlan;
+    bool withinGuarantee = false;
+    bool remoteAllowed = false; ///< Whether the unit could be placed away from its data or on several racks.
+    milliseconds waited { 0 }; ///< Time that counts towards a due reclaim.
+    milliseconds maxWait { 0 }; ///< How long the unit could wait for runs to end.
+    std::size_t victims = 0; ///< Units evicted, or that would have been.
+    double cost = 0; ///< Work lost by the evictions in core-seconds.
+    std::size_t awaitedRuns = 0; ///< Runs that are not stopped because they are expected to end in time.
+    std::optional<run_id> lastAwaited; ///< The one of them that is expected to end last.
+    double lastAwaitedPercent = 0; ///< Its progress.
+    double lastAwaitedRate = 0; ///< Its progress rate in percent per second; 0 while unknown.
+};
+
 using effect = std::variant<start_effect, stop_effect>;
 
 struct core_settings {
@@ -76,6 +105,9 @@
     /// @brief Jobs whose progress has changed since the last call.
     std::set<std::string> takeChangedJobs();
 
+    /// @brief Placements that were deferred since the last call.
+    std::vector<placement_deferral> takeDeferrals();
+
     [[nodiscard]] const tables& state() const { return m_state; }
 
 private:
@@ -100,6 +132,7 @@
         placement_request request, milliseconds within) const;
     void reserve(const unit_id& unit, const std::vector<std::string>& workers, const resources& need, time_point until);
     void reserveOrEvict(const pending_unit& entry, const placement_request& request, time_point now);
+    void noteDeferral(placement_deferral deferral, const std::vector<std::string>& workers, milliseconds awaitedWithin);
     void stop(live_run& run, const std::string& reason, time_point now);
     void stopUnit(const unit_id& unit, const std::string& reason, time_point now);
     void releaseReservation(const unit_id& unit);
@@ -111,6 +144,8 @@
     tables m_state;
     time_point m_decidedAt;
     std::map<unit_id, time_point> m_reservationTriedAt; ///< When a reservation or eviction for a unit last failed.
+    std::map<unit_id, deferral_reason> m_lastDeferrals; ///< Repeated failures of a unit are reported once.
+    std::vector<placement_deferral> m_deferrals;
     std::set<std::string> m_changed;
     std::vector<effect> m_effects;
 };
--- a/lib/libfleet/source/core/eviction.cpp
+++ b/lib/libfleet/source/core/eviction.cpp
@@ -17,10 +17,6 @@
 // A unit that was evicted this many times is evicted again only to reclaim a guarantee; this prevents its starvation.
 constexpr unsigned maxEvictions = 2;
 
-// A run that ends within this time is not evicted: stopping it and receiving the report of its end would take half of
-// this time.
-constexpr milliseconds nearEndLimit { 700 };
-
 bool endsSoon(const live_run& run)
 {
     return run.phase == run_phase::Active && run.ratePercent > 0 && remainingTimeOf(run) <= nearEndLimit;
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -47,6 +47,21 @@
 
 } // namespace
 
+std::string_view toString(deferral_reason reason)
+{
+    switch (reason) {
+    case deferral_reason::WaitsForRuns:
+        return "waits for runs to end";
+    case deferral_reason::WaitsForEvictions:
+        return "waits for evicted runs";
+    case deferral_reason::OverBudget:
+        return "the eviction would lose too much work";
+    case deferral_reason::NoPlan:
+        return "does not fit even after evictions";
+    }
+    return "unknown";
+}
+
 std::vector<effect> scheduler_core::decide(time_point now, std::int64_t unixMs)
 {
     m_decidedAt = now;
@@ -237,6 +252,7 @@
             releaseReservation(unit);
     }
     std::erase_if(m_reservationTriedAt, [now](const auto& entry) { return now - entry.second > reservationDuration; });
+    std::erase_if(m_lastDeferrals, [this](const auto& entry) { return isFinal(m_state.jobs.at(entry.first.job).progress.state); });
     m_state.withinGuarantee = findOrganisationsWithinGuarantee(m_state);
     for (const auto& entry : collectPending(now))
         placeUnit(entry, now);
@@ -249,6 +265,7 @@
     if (const auto places = findPlaces(m_state, request, now)) {
         releaseReservation(entry.unit);
         m_reservationTriedAt.erase(entry.unit);
+        m_lastDeferrals.erase(entry.unit);
         startUnit(job, entry.unit, *places, now);
         return true;
     }
@@ -285,23 +302,38 @@
     const bool reclaimsGuarantee = m_state.withinGuarantee.contains(request.organisation);
     const auto waited = std::chrono::duration_cast<milliseconds>(now - job.readySince);
     const auto& need = request.step->need;
+    placement_deferral deferral;
+    deferral.unit = entry.unit;
+    deferral.withinGuarantee = reclaimsGuarantee;
+    deferral.remoteAllowed = request.remoteAllowed;
+    deferral.waited = waited;
 
     // Resources that become free in time without an eviction cost nothing. A guarantee can allow less time than the objective.
     const double slackMs = static_cast<double>(slackOf(m_state, job, entry.unit, now).count()) * usableSlackShare;
     auto maxWait = milliseconds(static_cast<std::int64_t>(slackMs)) - startMargin;
     if (reclaimsGuarantee)
         maxWait = std::min(maxWait, guaranteeReclaimDelay - waited);
+    deferral.maxWait = maxWait;
     if (maxWait.count() > 0) {
-        if (const auto places = findExpectedPlaces(request, maxWait))
+        if (const auto places = findExpectedPlaces(request, maxWait)) {
+            deferral.reason = deferral_reason::WaitsForRuns;
+            noteDeferral(deferral, *places, maxWait);
             return reserve(entry.unit, *places, need, now + maxWait + startMargin);
+        }
     }
     const auto plan = planEviction(m_state, request, entry.priority, reclaimsGuarantee, now);
     if (!plan)
-        return;
+        return noteDeferral(deferral, {}, nearEndLimit);
+    deferral.victims = plan->victims.size();
+    deferral.cost = plan->cost;
     // Unless a guarantee is due, units are evicted only if the lost work is within the budget.
     const bool reclaimDue = reclaimsGuarantee && waited >= guaranteeReclaimDelay;
-    if (!reclaimDue && plan->cost > baseEvictionBudget + evictionBudgetPerWork * workOf(job.job.spec))
-        return;
+    if (!reclaimDue && plan->cost > baseEvictionBudget + evictionBudgetPerWork * workOf(job.job.spec)) {
+        deferral.reason = deferral_reason::OverBudget;
+        return noteDeferral(deferral, plan->workers, nearEndLimit);
+    }
+    deferral.reason = deferral_reason::WaitsForEvictions;
+    noteDeferral(deferral, plan->workers, nearEndLimit);
     for (const auto& victim : plan->victims) {
         ++m_state.jobs.at(victim.job).evictions[victim];
         stopUnit(victim, "room for urgent work", now);
@@ -309,6 +341,39 @@
     reserve(entry.unit, plan->workers, need, now + reservationDuration);
 }
 
+void scheduler_core::noteDeferral(
+    placement_deferral deferral, const std::vector<std::string>& workers, milliseconds awaitedWithin)
+{
+    const auto [known, added] = m_lastDeferrals.try_emplace(deferral.unit, deferral.reason);
+    const bool reserves
+        = deferral.reason == deferral_reason::WaitsForRuns || deferral.reason == deferral_reason::WaitsForEvictions;
+    if (!added && !reserves && known->second == deferral.reason)
+        return;
+    known->second = deferral.reason;
+    milliseconds longest { -1 };
+    for (const auto& worker : std::set<std::string>(workers.begin(), workers.end())) {
+        for (const auto& id : m_state.workers.at(worker).runs) {
+            const auto& run = m_state.runs.at(id);
+            const auto remaining = remainingTimeOf(run);
+            if (run.phase != run_phase::Active || remaining > awaitedWithin)
+                continue;
+            ++deferral.awaitedRuns;
+            if (remaining <= longest)
+                continue;
+            longest = remaining;
+            deferral.lastAwaited = id;
+            deferral.lastAwaitedPercent = run.percent;
+            deferral.lastAwaitedRate = run.ratePercent;
+        }
+    }
+    m_deferrals.push_back(std::move(deferral));
+}
+
+std::vector<placement_deferral> scheduler_core::takeDeferrals()
+{
+    return std::exchange(m_deferrals, {});
+}
+
 void scheduler_core::releaseReservation(const unit_id& unit)
 {
     const auto held = m_state.reservations.find(unit);
@@ -332,6 +397,9 @@
     const auto checkpoint = tasks[first].checkpoint;
     const double spread = slowdownOf(m_state, step, workers, m_settings.spreadFactor);
     const auto slack = slackOf(m_state, job, unit, now);
+    const auto waited = std::chrono::duration_cast<milliseconds>(now - job.acceptedAt);
+    const bool withinGuarantee
+        = ruleOf(m_state, job).priority == 0 && m_state.withinGuarantee.contains(job.job.organisation);
 
     for (unsigned i = 0; i < workers.size(); ++i) {
         auto& task = tasks[first + i];
@@ -348,7 +416,8 @@
         run.expectedMs = static_cast<double>(step.runTimeMs) * spread;
         run.spread = spread;
         run.placedAt = run.advancedAt = run.windowStartedAt = run.checkpointAt = now;
-        m_effects.emplace_back(start_effect { run.id, run.worker, run.life, checkpoint, spread, slack });
+        m_effects.emplace_back(start_effect {
+            run.id, run.worker, run.life, checkpoint, spread, slack, waited, withinGuarantee });
         addRun(m_state, std::move(run));
     }
     updateState(row.progress, row.job.spec);
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -263,6 +263,8 @@
     m_environment.metrics.summary("oriole_decision_milliseconds").observe(tookMs);
     for (const auto& job : m_core.takeChangedJobs())
         m_writer.markDirty(job);
+    for (const auto& deferral : m_core.takeDeferrals())
+        report(deferral);
     for (const auto& entry : effects)
         std::visit([this](const auto& order) { perform(order); }, entry);
 }
@@ -271,8 +273,13 @@
 {
     oriole::logEvent(oriole::log_level::Info, "run_placed",
         { { "task", toString(order.run.task) }, { "attempt", order.run.attempt }, { "agent", order.worker },
-            { "spread", order.slowdown }, { "slack_ms", order.slack.count() }, { "resumes", !order.checkpoint.empty() } });
+            { "spread", order.slowdown }, { "slack_ms", order.slack.count() }, { "resumes", !order.checkpoint.empty() },
+            { "waited_ms", order.waited.count() }, { "within_guarantee", order.withinGuarantee } });
     m_environment.metrics.counter("oriole_starts_total").add();
+    if (order.run.attempt == 1)
+        m_environment.metrics.summary("oriole_placement_wait_milliseconds",
+                                 { { "within_guarantee", order.withinGuarantee ? "true" : "false" } })
+            .observe(static_cast<double>(order.waited.count()));
     m_pendingStarts[order.run.task.job].push_back({ order, false });
 }
 
@@ -295,6 +302,20 @@
     sendStop(order.run);
 }
 
+void fleet_scheduler::report(const placement_deferral& deferral)
+{
+    const auto& unit = deferral.unit;
+    oriole::logEvent(oriole::log_level::Info, "placement_deferred",
+        { { "task", toString(task_id { unit.job, unit.occurrence, unit.step, unit.index }) },
+            { "reason", toString(deferral.reason) }, { "within_guarantee", deferral.withinGuarantee },
+            { "remote_allowed", deferral.remoteAllowed }, { "waited_ms", deferral.waited.count() },
+            { "max_wait_ms", deferral.maxWait.count() }, { "victims", deferral.victims },
+            { "loss_core_seconds", deferral.cost }, { "awaited_runs", deferral.awaitedRuns },
+            { "last_awaited", deferral.lastAwaited ? toString(deferral.lastAwaited->task) : std::string() },
+            { "last_awaited_percent", deferral.lastAwaitedPercent }, { "last_awaited_rate", deferral.lastAwaitedRate } });
+    m_environment.metrics.counter("oriole_deferrals_total", { { "reason", std::string(toString(deferral.reason)) } }).add();
+}
+
 void fleet_scheduler::recorded(const std::string& job)
 {
     logFinished(job);
