Guaranteed work no longer waits for runs that do not end

Callers saw an urgent job within its organisation's guarantee begin later than 2.7 s after its acceptance.

Cause: an eviction plan leaves runs alone that are projected to end within 0.7 s, counts their resources as free and reserves them for 1.5 s. For a member of a gang the projection used its own progress: a member at 100 % counted as about to end, though the gang holds its workers until its slowest member is done. The next plan made the same choice. Stops were relied on in the same way: a stopped run counted as free however long ago it was stopped. Resources of an expired reservation could also be taken by another unit before the plan was made again.

Change: the members of a gang free their resources with the last of them. Once a reclaim is due (1.2 s), nothing is awaited that was not stopped, and a stop counts for 0.6 s only. A guaranteed unit's reservation lasts until the reclaim is due, then for 0.6 s, and is replaced in the unit's own turn. So the last plan that is needed is made 1.8 s after acceptance at the latest unless two stops in a row are held up.

--- a/lib/libfleet/include/fleet/core/eviction.hpp
+++ b/lib/libfleet/include/fleet/core/eviction.hpp
@@ -12,6 +12,17 @@
 /// of this time.
 constexpr milliseconds nearEndLimit { 700 };
 
+/// @brief A stop whose end is not reported within this time may be held up, so the run's resources are not counted on.
+/// A run ends within 200 ms of its stop; a status poll of the worker and two messages are added.
+constexpr milliseconds stopTimeout { 600 };
+
+/// @brief How far a unit may displace other runs.
+enum class reclaim_right {
+    None, ///< Runs of lower priority.
+    Guaranteed, ///< Runs outside of guarantees too. Runs that are about to end are awaited.
+    Due, ///< As Guaranteed, and no run is awaited unless it was stopped.
+};
+
 struct eviction_plan {
     std::vector<std::string> workers; ///< Worker of each task of the unit to be placed.
     std::set<unit_id> victims;
@@ -19,10 +30,9 @@
 };
 
 /// @brief Plans the cheapest eviction that lets a unit of @p priority be placed.
-/// @param reclaimsGuarantee Whether the unit is within its organisation's guarantee.
 /// @return No value when the unit doesn't fit even after evictions.
 std::optional<eviction_plan> planEviction(
-    const tables& state, const placement_request& request, unsigned priority, bool reclaimsGuarantee, time_point now);
+    const tables& state, const placement_request& request, unsigned priority, reclaim_right right, time_point now);
 
 /// @brief Organisations whose unfinished priority-0 jobs together need no more accelerators than are guaranteed.
 std::set<std::string> findOrganisationsWithinGuarantee(const tables& state);
@@ -30,6 +40,12 @@
 /// @brief Core-seconds of work that are lost when the run is stopped at @p now.
 double lostWorkOf(const tables& state, const live_run& run, time_point now);
 
+/// @brief Whether the run was stopped and its end is not overdue.
+bool isStopExpected(const live_run& run, time_point now);
+
+/// @brief Time until the run is expected to free its resources. The members of a gang free theirs together.
+milliseconds releaseTimeOf(const tables& state, const live_run& run);
+
 /// @brief Remaining time of a run by its measured rate; by its estimated run time while the rate is unknown.
 milliseconds remainingTimeOf(const live_run& run);
 
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -136,6 +136,7 @@
     void stop(live_run& run, const std::string& reason, time_point now);
     void stopUnit(const unit_id& unit, const std::string& reason, time_point now);
     void releaseReservation(const unit_id& unit);
+    void releaseExpiredReservations(time_point now);
     [[nodiscard]] std::vector<pending_unit> collectPending(time_point now) const;
     [[nodiscard]] placement_request requestFor(const job_row& job, const unit_id& unit, time_point now) const;
     [[nodiscard]] bool canRestartElsewhere(const live_run& run, time_point now) const;
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -84,6 +84,7 @@
     time_point checkpointAt; ///< When the checkpoint last changed.
     bool progressKnown = false; ///< A report after the start-up time has shown its progress.
     bool unconfirmed = false; ///< It is unknown whether the worker has the run; the worker's next report shows it.
+    time_point stoppedAt; ///< When its stop was decided, in phase Stopping.
     std::optional<time_point> missingSince; ///< Since when the worker's reports have not listed the run.
 };
 
--- a/lib/libfleet/source/core/eviction.cpp
+++ b/lib/libfleet/source/core/eviction.cpp
@@ -17,33 +17,39 @@
 // A unit that was evicted this many times is evicted again only to reclaim a guarantee; this prevents its starvation.
 constexpr unsigned maxEvictions = 2;
 
-bool endsSoon(const live_run& run)
+bool endsSoon(const tables& state, const live_run& run)
 {
-    return run.phase == run_phase::Active && run.ratePercent > 0 && remainingTimeOf(run) <= nearEndLimit;
+    return run.phase == run_phase::Active && run.ratePercent > 0 && releaseTimeOf(state, run) <= nearEndLimit;
+}
+
+bool isAwaited(const tables& state, const live_run& run, reclaim_right right)
+{
+    return right != reclaim_right::Due && endsSoon(state, run);
 }
 
 using victim_table = std::map<unit_id, victim>;
 
-bool mayEvict(const tables& state, const job_row& job, unsigned priority, bool reclaimsGuarantee)
+bool mayEvict(const tables& state, const job_row& job, unsigned priority, reclaim_right right)
 {
     const auto victimPriority = ruleOf(state, job).priority;
     if (victimPriority > priority)
         return true;
-    return victimPriority == 0 && priority == 0 && reclaimsGuarantee && !state.withinGuarantee.contains(job.job.organisation);
+    return victimPriority == 0 && priority == 0 && right != reclaim_right::None
+        && !state.withinGuarantee.contains(job.job.organisation);
 }
 
-victim_table collectVictims(const tables& state, unsigned priority, bool reclaimsGuarantee, time_point now)
+victim_table collectVictims(const tables& state, unsigned priority, reclaim_right right, time_point now)
 {
     victim_table victims;
     for (const auto& [id, run] : state.runs) {
         const auto job = state.jobs.find(id.task.job);
         if (job == state.jobs.end() || run.phase == run_phase::Stopping
-            || !mayEvict(state, job->second, priority, reclaimsGuarantee))
+            || !mayEvict(state, job->second, priority, right))
             continue;
         const auto unit = unitOf(state, id.task);
         const auto previous = job->second.evictions.find(unit);
         const unsigned evictions = previous == job->second.evictions.end() ? 0 : previous->second;
-        if ((evictions >= maxEvictions && !reclaimsGuarantee) || endsSoon(run))
+        if ((evictions >= maxEvictions && right == reclaim_right::None) || isAwaited(state, run, right))
             continue;
         auto& entry = victims[unit];
         entry.cost += lostWorkOf(state, run, now) * (1 + evictions);
@@ -53,11 +59,11 @@
 }
 
 /// @brief Resources of runs that are being stopped or are about to end, by worker.
-std::map<std::string, resources> findExpectedFree(const tables& state)
+std::map<std::string, resources> findExpectedFree(const tables& state, reclaim_right right, time_point now)
 {
     std::map<std::string, resources> expectedFree;
     for (const auto& [id, run] : state.runs) {
-        if (run.phase == run_phase::Stopping || endsSoon(run))
+        if (isStopExpected(run, now) || isAwaited(state, run, right))
             expectedFree[run.worker] += run.need;
     }
     return expectedFree;
@@ -154,11 +160,11 @@
 } // namespace
 
 std::optional<eviction_plan> planEviction(
-    const tables& state, const placement_request& request, unsigned priority, bool reclaimsGuarantee, time_point now)
+    const tables& state, const placement_request& request, unsigned priority, reclaim_right right, time_point now)
 {
-    const auto victims = collectVictims(state, priority, reclaimsGuarantee, now);
+    const auto victims = collectVictims(state, priority, right, now);
     const auto index = indexVictims(victims);
-    const auto expectedFree = findExpectedFree(state);
+    const auto expectedFree = findExpectedFree(state, right, now);
     const bool oneRack = request.step->gang && request.step->sameRack;
     std::map<std::string, plan_state> groups;
     for (const auto& [name, row] : state.workers) {
@@ -199,6 +205,23 @@
     return within;
 }
 
+bool isStopExpected(const live_run& run, time_point now)
+{
+    return run.phase == run_phase::Stopping && now - run.stoppedAt <= stopTimeout;
+}
+
+milliseconds releaseTimeOf(const tables& state, const live_run& run)
+{
+    auto longest = remainingTimeOf(run);
+    const auto job = state.jobs.find(run.id.task.job);
+    if (job == state.jobs.end() || !job->second.job.spec.steps[run.id.task.step].gang)
+        return longest;
+    for (auto entry = firstRunOf(state, run.id.task);
+         entry != state.runs.end() && isSameStep(entry->first.task, run.id.task); ++entry)
+        longest = std::max(longest, remainingTimeOf(entry->second));
+    return longest;
+}
+
 milliseconds remainingTimeOf(const live_run& run)
 {
     const double left = std::max(0.0, 100 - run.percent) / 100;
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -93,6 +93,7 @@
 void scheduler_core::stop(live_run& run, const std::string& reason, time_point now)
 {
     run.phase = run_phase::Stopping;
+    run.stoppedAt = now;
     m_effects.emplace_back(
         stop_effect { run.id, run.worker, reason, run.percent, run.ratePercent, lostWorkOf(m_state, run, now) });
 }
@@ -246,16 +247,21 @@
 
 void scheduler_core::placePendingUnits(time_point now)
 {
-    for (auto entry = m_state.reservations.begin(); entry != m_state.reservations.end();) {
-        const auto unit = (entry++)->first;
-        if (m_state.reservations.at(unit).until <= now)
-            releaseReservation(unit);
-    }
     std::erase_if(m_reservationTriedAt, [now](const auto& entry) { return now - entry.second > reservationDuration; });
     std::erase_if(m_lastDeferrals, [this](const auto& entry) { return isFinal(m_state.jobs.at(entry.first.job).progress.state); });
     m_state.withinGuarantee = findOrganisationsWithinGuarantee(m_state);
     for (const auto& entry : collectPending(now))
         placeUnit(entry, now);
+    releaseExpiredReservations(now);
+}
+
+void scheduler_core::releaseExpiredReservations(time_point now)
+{
+    for (auto entry = m_state.reservations.begin(); entry != m_state.reservations.end();) {
+        const auto unit = (entry++)->first;
+        if (m_state.reservations.at(unit).until <= now)
+            releaseReservation(unit);
+    }
 }
 
 bool scheduler_core::placeUnit(const pending_unit& entry, time_point now)
@@ -269,12 +275,15 @@
         startUnit(job, entry.unit, *places, now);
         return true;
     }
-    if (entry.priority != 0 || m_state.reservations.contains(entry.unit))
+    const auto held = m_state.reservations.find(entry.unit);
+    if (entry.priority != 0 || (held != m_state.reservations.end() && held->second.until > now))
         return false;
     const auto tried = m_reservationTriedAt.find(entry.unit);
     if (tried == m_reservationTriedAt.end() || now - tried->second >= reservationRetryInterval) {
         m_reservationTriedAt[entry.unit] = now;
-        reserveOrEvict(entry, request, now);
+        // An expired reservation is replaced only now, so that units placed earlier do not take its resources.
+        releaseReservation(entry.unit);
+        reserveOrEvict(entry, requestFor(job, entry.unit, now), now);
     }
     return false;
 }
@@ -282,7 +291,7 @@
 std::optional<std::vector<std::string>> scheduler_core::findExpectedPlaces(placement_request request, milliseconds within) const
 {
     for (const auto& [id, run] : m_state.runs) {
-        if (run.phase == run_phase::Stopping || (run.phase == run_phase::Active && remainingTimeOf(run) <= within))
+        if (isStopExpected(run, m_decidedAt) || (run.phase == run_phase::Active && releaseTimeOf(m_state, run) <= within))
             request.expectedFree[run.worker] += run.need;
     }
     return findPlaces(m_state, request, m_decidedAt);
@@ -321,24 +330,32 @@
             return reserve(entry.unit, *places, need, now + maxWait + startMargin);
         }
     }
-    const auto plan = planEviction(m_state, request, entry.priority, reclaimsGuarantee, now);
+    const bool reclaimDue = reclaimsGuarantee && waited >= guaranteeReclaimDelay;
+    const auto right = reclaimDue ? reclaim_right::Due
+        : reclaimsGuarantee       ? reclaim_right::Guaranteed
+                                  : reclaim_right::None;
+    const auto plan = planEviction(m_state, request, entry.priority, right, now);
     if (!plan)
         return noteDeferral(deferral, {}, nearEndLimit);
     deferral.victims = plan->victims.size();
     deferral.cost = plan->cost;
     // Unless a guarantee is due, units are evicted only if the lost work is within the budget.
-    const bool reclaimDue = reclaimsGuarantee && waited >= guaranteeReclaimDelay;
     if (!reclaimDue && plan->cost > baseEvictionBudget + evictionBudgetPerWork * workOf(job.job.spec)) {
         deferral.reason = deferral_reason::OverBudget;
         return noteDeferral(deferral, plan->workers, nearEndLimit);
     }
     deferral.reason = deferral_reason::WaitsForEvictions;
-    noteDeferral(deferral, plan->workers, nearEndLimit);
+    // Once the reclaim is due no run is awaited.
+    noteDeferral(deferral, reclaimDue ? std::vector<std::string> {} : plan->workers, nearEndLimit);
     for (const auto& victim : plan->victims) {
         ++m_state.jobs.at(victim.job).evictions[victim];
         stopUnit(victim, "room for urgent work", now);
     }
-    reserve(entry.unit, plan->workers, need, now + reservationDuration);
+    // Guaranteed work plans again when its reclaim becomes due, and from then on whenever stops are overdue.
+    auto duration = reservationDuration;
+    if (reclaimsGuarantee)
+        duration = std::min(duration, std::max(guaranteeReclaimDelay - waited, stopTimeout));
+    reserve(entry.unit, plan->workers, need, now + duration);
 }
 
 void scheduler_core::noteDeferral(
@@ -354,7 +371,7 @@
     for (const auto& worker : std::set<std::string>(workers.begin(), workers.end())) {
         for (const auto& id : m_state.workers.at(worker).runs) {
             const auto& run = m_state.runs.at(id);
-            const auto remaining = remainingTimeOf(run);
+            const auto remaining = releaseTimeOf(m_state, run);
             if (run.phase != run_phase::Active || remaining > awaitedWithin)
                 continue;
             ++deferral.awaitedRuns;
