A draining worker no longer keeps a finished member of a slow gang

Callers saw the same cause as with guaranteed work: a member at 100 % counts as about to end, though its gang ends with its slowest member. On a draining worker such a member stayed until the worker left, which lost the work of the whole gang.

Change: stopRunsOnDrainingWorkers compares the time left with the time until the gang frees its resources.

--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -147,7 +147,7 @@
         const bool savesCheckpoints = job != m_state.jobs.end() && job->second.job.spec.steps[id.task.step].checkpointing;
         // Runs with checkpoints continue until just before the deadline; others that can't end in time are stopped at once,
         // to be restarted elsewhere.
-        if (remainingTimeOf(run) > timeLeft && (!savesCheckpoints || timeLeft < drainStopMargin))
+        if (releaseTimeOf(m_state, run) > timeLeft && (!savesCheckpoints || timeLeft < drainStopMargin))
             stopUnit(unitOf(m_state, id.task), "its worker leaves", now);
     }
 }
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -311,6 +311,29 @@
     }
 }
 
+TEST_CASE("a gang leaves a draining worker that its slowest member will outlive, though the member there has finished", "[core][gang]")
+{
+    core_fixture fixture;
+    for (const auto* name : { "w1", "w2" })
+        fixture.report(name, workerReport("r1"));
+    auto gang = step(2, 8, 8000);
+    gang.gang = true;
+    fixture.add(job("a", "batch", { gang }));
+    REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 2);
+    const auto began = fixture.now;
+    const auto percentOf = [&](const live_run& run) {
+        return std::min(100.0, secondsSince(began, fixture.now) * (run.id.task.index == 0 ? 25 : 8));
+    };
+    REQUIRE(passTime(fixture, { "w1", "w2" }, 4.5, percentOf).empty());
+    const auto& finished = fixture.core.state().runs.at({ { "a", 0, 0, 0 }, 1 });
+    REQUIRE(finished.percent == 100);
+    auto leaving = workerReport("r1");
+    leaving.worker.draining = true;
+    leaving.worker.drainRemainingMs = 3000;
+    fixture.report(finished.worker, leaving);
+    CHECK(core_fixture::only<stop_effect>(fixture.decide()).size() == 2);
+}
+
 TEST_CASE("the progress jump of a run that resumes from a checkpoint does not count as speed", "[core][stragglers]")
 {
     core_fixture fixture;
