The guarantee is given to jobs in order of acceptance, not to an organisation as a whole

Callers of an organisation lost the guarantee of a job within it as soon as another caller handed in one more than fits: all of the organisation's urgent jobs then waited like borrowers, and their running work could be evicted for other guarantees.

Cause: withinGuarantee held organisations whose unfinished jobs all fit. Change: the guarantee is given out by acceptance, and a job that needs more than is left is passed over.

--- a/lib/libfleet/include/fleet/core/eviction.hpp
+++ b/lib/libfleet/include/fleet/core/eviction.hpp
@@ -34,8 +34,9 @@
 std::optional<eviction_plan> planEviction(
     const tables& state, const placement_request& request, unsigned priority, reclaim_right right, time_point now);
 
-/// @brief Organisations whose unfinished priority-0 jobs together need no more accelerators than are guaranteed.
-std::set<std::string> findOrganisationsWithinGuarantee(const tables& state);
+/// @brief Unfinished priority-0 jobs that fit into their organisation's guarantee. It is given out in order of acceptance; a
+/// job that needs more than is left is passed over.
+std::set<std::string> findGuaranteedJobs(const tables& state);
 
 /// @brief Core-seconds of work that are lost when the run is stopped at @p now.
 double lostWorkOf(const tables& state, const live_run& run, time_point now);
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -101,7 +101,7 @@
     std::map<run_id, live_run> runs;
     std::map<unit_id, reservation> reservations;
     std::set<std::string> domainsOut;
-    std::set<std::string> withinGuarantee; ///< Organisations whose unfinished priority-0 jobs fit into their guarantee.
+    std::set<std::string> guaranteedJobs; ///< Unfinished priority-0 jobs that fit into the guarantee of their organisation.
     configuration rules;
 };
 
--- a/lib/libfleet/source/core/eviction.cpp
+++ b/lib/libfleet/source/core/eviction.cpp
@@ -1,6 +1,7 @@
 #include <fleet/core/eviction.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace fleet {
 
@@ -35,7 +36,7 @@
     if (victimPriority > priority)
         return true;
     return victimPriority == 0 && priority == 0 && right != reclaim_right::None
-        && !state.withinGuarantee.contains(job.job.organisation);
+        && !state.guaranteedJobs.contains(job.job.id);
 }
 
 victim_table collectVictims(const tables& state, unsigned priority, reclaim_right right, time_point now)
@@ -188,21 +189,32 @@
     return best;
 }
 
-std::set<std::string> findOrganisationsWithinGuarantee(const tables& state)
+std::set<std::string> findGuaranteedJobs(const tables& state)
 {
-    std::map<std::string, std::int64_t> demand;
+    std::map<std::string, std::int64_t> left;
+    for (const auto& rule : state.rules.organisations)
+        left[rule.name] = rule.guaranteedAccelerators;
+
+    std::vector<const job_row*> jobs;
     for (const auto& [id, job] : state.jobs) {
-        if (isFinal(job.progress.state) || ruleOf(state, job).priority != 0)
-            continue;
-        for (const auto& step : job.job.spec.steps)
-            demand[job.job.organisation] += step.need.accelerators * static_cast<std::int64_t>(step.count);
+        if (!isFinal(job.progress.state) && left.contains(job.job.organisation) && ruleOf(state, job).priority == 0)
+            jobs.push_back(&job);
     }
-    std::set<std::string> within;
-    for (const auto& rule : state.rules.organisations) {
-        if (demand[rule.name] <= rule.guaranteedAccelerators)
-            within.insert(rule.name);
+    std::sort(jobs.begin(), jobs.end(), [](const auto* a, const auto* b) {
+        return std::tie(a->acceptedAt, a->job.id) < std::tie(b->acceptedAt, b->job.id);
+    });
+
+    std::set<std::string> guaranteed;
+    for (const auto* job : jobs) {
+        std::int64_t demand = 0;
+        for (const auto& step : job->job.spec.steps)
+            demand += step.need.accelerators * static_cast<std::int64_t>(step.count);
+        if (demand > left[job->job.organisation])
+            continue;
+        left[job->job.organisation] -= demand;
+        guaranteed.insert(job->job.id);
     }
-    return within;
+    return guaranteed;
 }
 
 bool isStopExpected(const live_run& run, time_point now)
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -224,7 +224,6 @@
 {
     const auto& step = job.job.spec.steps[unit.step];
     const auto rule = ruleOf(m_state, job);
-    const bool withinGuarantee = m_state.withinGuarantee.contains(job.job.organisation);
     placement_request request;
     request.step = &step;
     request.tasks = tasksOf(step);
@@ -237,7 +236,7 @@
             ++request.liveTasksByWorker[task.worker];
     }
     request.excludeSuspects = !step.lasting && tasks[unit.index].failures + 1 >= rule.maxAttempts;
-    request.remoteAllowed = now - job.readySince > remotePlacementDelay(step, rule.priority == 0 && withinGuarantee);
+    request.remoteAllowed = now - job.readySince > remotePlacementDelay(step, m_state.guaranteedJobs.contains(unit.job));
     if (const auto held = m_state.reservations.find(unit); held != m_state.reservations.end()) {
         request.reservedNeed = held->second.need;
         request.reservedOn = held->second.workers;
@@ -249,7 +248,7 @@
 {
     std::erase_if(m_reservationTriedAt, [now](const auto& entry) { return now - entry.second > reservationDuration; });
     std::erase_if(m_lastDeferrals, [this](const auto& entry) { return isFinal(m_state.jobs.at(entry.first.job).progress.state); });
-    m_state.withinGuarantee = findOrganisationsWithinGuarantee(m_state);
+    m_state.guaranteedJobs = findGuaranteedJobs(m_state);
     for (const auto& entry : collectPending(now))
         placeUnit(entry, now);
     releaseExpiredReservations(now);
@@ -308,7 +307,7 @@
 void scheduler_core::reserveOrEvict(const pending_unit& entry, const placement_request& request, time_point now)
 {
     const auto& job = m_state.jobs.at(entry.unit.job);
-    const bool reclaimsGuarantee = m_state.withinGuarantee.contains(request.organisation);
+    const bool reclaimsGuarantee = m_state.guaranteedJobs.contains(entry.unit.job);
     const auto waited = std::chrono::duration_cast<milliseconds>(now - job.readySince);
     const auto& need = request.step->need;
     placement_deferral deferral;
@@ -415,8 +414,7 @@
     const double spread = slowdownOf(m_state, step, workers, m_settings.spreadFactor);
     const auto slack = slackOf(m_state, job, unit, now);
     const auto waited = std::chrono::duration_cast<milliseconds>(now - job.acceptedAt);
-    const bool withinGuarantee
-        = ruleOf(m_state, job).priority == 0 && m_state.withinGuarantee.contains(job.job.organisation);
+    const bool withinGuarantee = m_state.guaranteedJobs.contains(unit.job);
 
     for (unsigned i = 0; i < workers.size(); ++i) {
         auto& task = tasks[first + i];
--- a/tests/fleet/reclaim_test.cpp
+++ b/tests/fleet/reclaim_test.cpp
@@ -140,6 +140,23 @@
     CHECK(fixture.timeToStart("urgent"));
 }
 
+TEST_CASE("a later job beyond the guarantee does not take it from an earlier job within it", "[core][reclaim]")
+{
+    reclaim_fixture fixture;
+    fixture.racks = { { "w1", "r1" } };
+    fixture.guarantee("holder", 8);
+    fixture.advance();
+    auto other = job("other", "urgent", { step(1, 8, 8000) });
+    other.organisation = "without";
+    fixture.add(other);
+    fixture.advance(milliseconds(1000));
+    fixture.add(guaranteedJob("within", { step(1, 8) }));
+    fixture.now += milliseconds(10);
+    fixture.add(guaranteedJob("beyond", { step(1, 8) }));
+    CHECK(fixture.timeToStart("within"));
+    CHECK(fixture.core.findJob("beyond")->progress.state == job_state::Queued);
+}
+
 TEST_CASE("guaranteed work with free resources elsewhere evicts nothing", "[core][reclaim]")
 {
     reclaim_fixture fixture;
