A cancellation that arrives before its job is applied when the job arrives

Cause: the scheduler watches jobs and cancellations independently. Change: a loaded job is cancelled at once if its cancellation is already known. The other records are read once (progress) or apply by themselves in any order (members, configuration).

--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -142,6 +142,9 @@
         { { "job", id }, { "queue", job->queue }, { "age_ms", age.count() }, { "steps", job->spec.steps.size() },
             { "state", toString(progress.state) } });
     m_core.addJob(std::move(*job), std::move(progress), now - age, now);
+    // Jobs and cancellations are watched independently, so a cancellation may have arrived before its job.
+    if (m_cancels.records().contains(record_keys::cancels + id))
+        m_core.cancelJob(id);
     scheduleDecision();
 }
 
--- a/tests/fleet/fake_store.hpp
+++ b/tests/fleet/fake_store.hpp
@@ -5,6 +5,7 @@
 #include <fleet/store/record_store.hpp>
 
 #include <functional>
+#include <iterator>
 #include <map>
 #include <utility>
 #include <vector>
@@ -116,6 +117,18 @@
         run();
     }
 
+    /// @brief Answers only the waiting watches of one prefix, as when the answers of the others are delayed.
+    void answerWatchesOf(const std::string& prefix)
+    {
+        std::vector<waiting_watch> others;
+        std::vector<waiting_watch> chosen;
+        for (auto& waiting : std::exchange(watches, {}))
+            (waiting.prefix == prefix ? chosen : others).push_back(std::move(waiting));
+        watches = std::move(chosen);
+        answerWatches();
+        watches.insert(watches.end(), std::make_move_iterator(others.begin()), std::make_move_iterator(others.end()));
+    }
+
     struct waiting_watch {
         std::string prefix;
         revision_number after = 0;
--- a/tests/fleet/fleet_scheduler_test.cpp
+++ b/tests/fleet/fleet_scheduler_test.cpp
@@ -96,3 +96,31 @@
     }
     CHECK(fixture.starts == 1);
 }
+
+// The watches of jobs and of cancellations are independent. On a slow store the cancellation of a job can arrive before the
+// job itself, which then ran 14 to 31 s after its cancellation was acknowledged.
+TEST_CASE("a job whose cancellation arrives before the job itself is not started", "[scheduler][cancel]")
+{
+    takeover_fixture fixture;
+    fixture.pass(milliseconds(300));
+    for (unsigned i = 0; i < 40 && fixture.starts == 0; ++i) {
+        fixture.store.run();
+        fixture.pass(milliseconds(10));
+    }
+    REQUIRE(fixture.starts == 1);
+
+    const auto cancelled = job("fedcba9876543210", "batch", { step(1, 1) });
+    fixture.store.put(record_keys::jobs + cancelled.id, encodeJob(cancelled));
+    fixture.store.put(record_keys::cancels + cancelled.id, "{}");
+    fixture.store.answerWatchesOf(record_keys::cancels);
+    fixture.pass(milliseconds(20));
+    fixture.store.answerWatchesOf(record_keys::jobs);
+    for (unsigned i = 0; i < 40; ++i) {
+        fixture.store.run();
+        fixture.pass(milliseconds(10));
+    }
+    CHECK(fixture.starts == 1);
+    const auto status = fixture.store.records.find(record_keys::status + cancelled.id);
+    REQUIRE(status != fixture.store.records.end());
+    CHECK(decodeStatus(status->second.value)->state == job_state::Cancelled);
+}
