--- a/lib/libfleet/include/fleet/core/eviction.hpp
+++ b/lib/libfleet/include/fleet/core/eviction.hpp
@@ -5,6 +5,8 @@
 #include <fleet/core/placement.hpp>
 
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace fleet {
 
@@ -29,17 +31,34 @@
     double cost = 0; ///< Lost work in core-seconds; units that were evicted before count more.
 };
 
-/// @brief Plans the cheapest eviction that lets a unit of @p priority be placed.
+/// @brief Runs that units of one priority and right may displace. It stays valid until a run starts or is stopped, so that
+/// many urgent units that wait at the same time share it.
+struct eviction_candidates {
+    struct victim {
+        unit_id unit;
+        double cost = 0;
+        std::vector<std::pair<std::size_t, resources>> freed; ///< Resources that the eviction frees, by slot of the worker.
+    };
+
+    std::vector<victim> victims; ///< In order of their units.
+    std::vector<std::vector<std::pair<std::size_t, resources>>> byWorker; ///< By slot: victims by ascending cost, and what they free.
+    std::vector<resources> expectedFree; ///< By slot: resources of runs that are being stopped or are about to end.
+};
+
+eviction_candidates collectEvictionCandidates(
+    const tables& state, unsigned priority, reclaim_right right, time_point now);
+
+/// @brief Plans the cheapest eviction that lets a unit be placed.
 /// @return No value when the unit doesn't fit even after evictions.
 std::optional<eviction_plan> planEviction(
-    const tables& state, const placement_request& request, unsigned priority, reclaim_right right, time_point now);
+    const tables& state, const placement_request& request, const eviction_candidates& candidates, time_point now);
 
 /// @brief Unfinished priority-0 jobs that fit into their organisation's guarantee. It is given out in order of acceptance; a
 /// job that needs more than is left is passed over.
 std::set<std::string> findGuaranteedJobs(const tables& state);
 
 /// @brief Core-seconds of work that are lost when the run is stopped at @p now.
-double lostWorkOf(const tables& state, const live_run& run, time_point now);
+double lostWorkOf(const live_run& run, time_point now);
 
 /// @brief Whether the run was stopped and its end is not overdue.
 bool isStopExpected(const live_run& run, time_point now);
--- a/lib/libfleet/include/fleet/core/objective.hpp
+++ b/lib/libfleet/include/fleet/core/objective.hpp
@@ -27,7 +27,7 @@
     Expired, ///< So late that completing it sooner has no further value.
 };
 
-/// @brief A unit that waits for placement. Units are placed in ascending order.
+/// @brief A gang, or the tasks of another step, that waits for placement. They are placed in ascending order.
 struct pending_unit {
     unsigned priority = 0;
     deadline_status deadlineStatus = deadline_status::InTime;
@@ -38,9 +38,9 @@
 };
 
 /// @brief Computes the placement order of a unit at @p now.
-pending_unit classify(const tables& state, const job_row& job, const unit_id& unit, time_point now);
+pending_unit classify(const job_row& job, const unit_id& unit, time_point now);
 
 /// @brief How long the unit may still wait before the objective is missed; negative if it can't be met.
-milliseconds slackOf(const tables& state, const job_row& job, const unit_id& unit, time_point now);
+milliseconds slackOf(const job_row& job, const unit_id& unit, time_point now);
 
 } // namespace fleet
--- a/lib/libfleet/include/fleet/core/placement.hpp
+++ b/lib/libfleet/include/fleet/core/placement.hpp
@@ -16,13 +16,13 @@
     unsigned tasks = 1;
     std::string service;
     std::string organisation;
-    std::map<std::string, unsigned> liveTasksByWorker; ///< Live tasks of the step by worker, for the anti-affinity limit.
+    std::map<std::string, unsigned> liveTasksByWorker; ///< Live tasks of the step by worker; only if it has an anti-affinity limit.
     std::set<std::string> avoidedWorkers; ///< Workers on which a run of the job failed or was slow; used only if no other fits.
     bool excludeSuspects = false; ///< Whether suspect workers and avoidedWorkers are excluded, as for a task's last attempt.
     bool remoteAllowed = false; ///< Whether the unit may be placed outside of the rack of its data, and a gang on several racks.
     std::optional<resources> reservedNeed; ///< Resources per task of the unit's own reservation.
     std::vector<std::string> reservedOn; ///< Workers of the unit's own reservation, one entry for each task.
-    std::map<std::string, resources> expectedFree; ///< Resources by worker that live runs are expected to free in time.
+    std::vector<resources> expectedFree; ///< By slot of the worker: resources that live runs are expected to free in time.
 };
 
 /// @brief Chooses a worker for each task.
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -126,12 +126,15 @@
     void stopRunsOnDrainingWorkers(time_point now);
     void stopStragglers(time_point now);
     void placePendingUnits(time_point now);
+    void placeStep(pending_unit& entry, time_point now);
     bool placeUnit(const pending_unit& entry, time_point now);
+    [[nodiscard]] static bool isLastAttempt(const job_row& job, const unit_id& unit);
     void startUnit(const job_row& job, const unit_id& unit, const std::vector<std::string>& workers, time_point now);
     [[nodiscard]] std::optional<std::vector<std::string>> findExpectedPlaces(
         placement_request request, milliseconds within) const;
     void reserve(const unit_id& unit, const std::vector<std::string>& workers, const resources& need, time_point until);
     void reserveOrEvict(const pending_unit& entry, const placement_request& request, time_point now);
+    const eviction_candidates& evictionCandidates(reclaim_right right, time_point now);
     void noteDeferral(placement_deferral deferral, const std::vector<std::string>& workers, milliseconds awaitedWithin);
     void stop(live_run& run, const std::string& reason, time_point now);
     void stopUnit(const unit_id& unit, const std::string& reason, time_point now);
@@ -144,6 +147,7 @@
     core_settings m_settings;
     tables m_state;
     time_point m_decidedAt;
+    std::map<reclaim_right, std::optional<eviction_candidates>> m_evictionCandidates; ///< Of the present decision.
     std::map<unit_id, time_point> m_reservationTriedAt; ///< When a reservation or eviction for a unit last failed.
     std::map<unit_id, deferral_reason> m_lastDeferrals; ///< Repeated failures of a unit are reported once.
     std::vector<placement_deferral> m_deferrals;
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -30,6 +30,7 @@
 };
 
 struct worker_row {
+    std::size_t slot = 0; ///< Position in tables that have one entry for each worker.
     worker_description description;
     bool reachable = false; ///< Whether its agent accepts commands now.
     resources used; ///< Held by all live runs, including those that are being stopped.
@@ -48,6 +49,7 @@
 struct job_row {
     accepted_job job;
     job_progress progress;
+    queue_rule rule; ///< Rules of the job's queue; those of a removed queue have the lowest priority.
     time_point acceptedAt;
     time_point readySince; ///< When the job was added, an occurrence began or a run of it ended, whichever was last.
     /// By step: shortest run time projected from progress, with the slow-down away from the data taken out.
@@ -66,6 +68,8 @@
 
 struct live_run {
     run_id id;
+    job_row* job = nullptr; ///< Null for a run whose job is not known.
+    worker_row* host = nullptr;
     std::string worker;
     worker_incarnation life;
     resources need;
@@ -96,6 +100,11 @@
 };
 
 struct tables {
+    tables() = default;
+    // Runs refer to the rows of their job and worker.
+    tables(const tables&) = delete;
+    tables& operator=(const tables&) = delete;
+
     std::map<std::string, worker_row> workers;
     std::map<std::string, job_row> jobs;
     std::map<run_id, live_run> runs;
@@ -106,7 +115,10 @@
 };
 
 /// @brief Rules of a job's queue. If the queue was removed, rules with the lowest priority are returned.
-queue_rule ruleOf(const tables& state, const job_row& job);
+queue_rule findRule(const configuration& rules, const accepted_job& job);
+
+/// @brief The row of a worker; it is added if the worker is not known.
+worker_row& workerOf(tables& state, const std::string& name);
 
 /// @brief Adds a live run and takes its resources from its worker.
 live_run& addRun(tables& state, live_run run);
--- a/lib/libfleet/include/fleet/model/worker.hpp
+++ b/lib/libfleet/include/fleet/model/worker.hpp
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fleet {
@@ -31,7 +32,7 @@
 
     auto operator<=>(const worker_description&) const = default;
 
-    [[nodiscard]] std::string rack() const { return labels.size() > 1 ? labels.back() : std::string(); }
+    [[nodiscard]] std::string_view rack() const { return labels.size() > 1 ? std::string_view(labels.back()) : std::string_view(); }
     [[nodiscard]] bool hasLabel(const std::string& label) const
     {
         return std::find(labels.begin(), labels.end(), label) != labels.end();
--- a/lib/libfleet/source/core/objective.cpp
+++ b/lib/libfleet/source/core/objective.cpp
@@ -60,14 +60,14 @@
     return milliseconds(static_cast<std::int64_t>(scaledPath) + rule.targetLatencyMs);
 }
 
-milliseconds slackOf(const tables& state, const job_row& job, const unit_id& unit, time_point now)
+milliseconds slackOf(const job_row& job, const unit_id& unit, time_point now)
 {
-    return slackWithin(objectiveOf(job.job.spec, ruleOf(state, job)), job, unit, now);
+    return slackWithin(objectiveOf(job.job.spec, job.rule), job, unit, now);
 }
 
-pending_unit classify(const tables& state, const job_row& job, const unit_id& unit, time_point now)
+pending_unit classify(const job_row& job, const unit_id& unit, time_point now)
 {
-    const auto rule = ruleOf(state, job);
+    const auto& rule = job.rule;
     const auto objective = objectiveOf(job.job.spec, rule);
     const auto slack = slackWithin(objective, job, unit, now);
     pending_unit pending { rule.priority, deadline_status::InTime, static_cast<double>(slack.count()), unit };
--- a/lib/libfleet/source/core/placement.cpp
+++ b/lib/libfleet/source/core/placement.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
+#include <limits>
+#include <string_view>
 
 namespace fleet {
 
@@ -14,7 +15,7 @@
 constexpr double faultScoreHalfLifeSeconds = 6;
 
 struct candidate {
-    std::string name;
+    const std::string* name = nullptr;
     const worker_row* row = nullptr;
     resources free;
     unsigned taskCount = 0; ///< Tasks of this unit placed there so far, and live tasks of the step.
@@ -29,14 +30,14 @@
     for (const auto& [name, row] : state.workers) {
         if (!row.reachable || row.blockedUntil > now || !isEligible(row, request, state))
             continue;
-        candidate entry { name, &row, row.free(), 0,
+        candidate entry { &name, &row, row.free(), 0,
             faultScoreOf(row, now) >= suspectThreshold || request.avoidedWorkers.contains(name) };
         for (const auto& reserved : request.reservedOn) {
             if (reserved == name && request.reservedNeed)
                 entry.free += *request.reservedNeed;
         }
-        if (const auto expected = request.expectedFree.find(name); expected != request.expectedFree.end())
-            entry.free += expected->second;
+        if (row.slot < request.expectedFree.size())
+            entry.free += request.expectedFree[row.slot];
         if (request.step->fillsIdle)
             entry.free.millicores = std::max(entry.free.millicores, request.step->need.millicores);
         if (const auto live = request.liveTasksByWorker.find(name); live != request.liveTasksByWorker.end())
@@ -65,8 +66,39 @@
     return left.free.millicores < right.free.millicores;
 }
 
+unsigned amountsIn(std::int64_t space, std::int64_t need)
+{
+    if (need <= 0)
+        return space >= need ? std::numeric_limits<unsigned>::max() : 0;
+    return space < need ? 0 : static_cast<unsigned>(std::min<std::int64_t>(space / need, std::numeric_limits<unsigned>::max()));
+}
+
+/// @brief How many tasks of the step fit on the worker.
+unsigned roomFor(const candidate& entry, const step_spec& step)
+{
+    auto room = std::min({ amountsIn(entry.free.accelerators, step.need.accelerators),
+        amountsIn(entry.free.millicores, step.need.millicores), amountsIn(entry.free.memoryMb, step.need.memoryMb) });
+    if (step.antiAffinity != 0)
+        room = std::min(room, step.antiAffinity - std::min(step.antiAffinity, entry.taskCount));
+    return room;
+}
+
+bool haveRoom(const candidate_list& candidates, const placement_request& request)
+{
+    std::uint64_t room = 0;
+    for (const auto& entry : candidates) {
+        room += roomFor(entry, *request.step);
+        if (room >= request.tasks)
+            return true;
+    }
+    return request.tasks == 0;
+}
+
 std::optional<std::vector<std::string>> pack(candidate_list candidates, const placement_request& request)
 {
+    // Most attempts fail on a full fleet, so the room is counted before workers are chosen one by one.
+    if (!haveRoom(candidates, request))
+        return std::nullopt;
     std::vector<std::string> places;
     for (unsigned task = 0; task < request.tasks; ++task) {
         candidate* best = nullptr;
@@ -78,14 +110,14 @@
             return std::nullopt;
         best->free -= request.step->need;
         ++best->taskCount;
-        places.push_back(best->name);
+        places.push_back(*best->name);
     }
     return places;
 }
 
-std::map<std::string, candidate_list> groupByRack(const candidate_list& candidates)
+std::map<std::string_view, candidate_list> groupByRack(const candidate_list& candidates)
 {
-    std::map<std::string, candidate_list> racks;
+    std::map<std::string_view, candidate_list> racks;
     for (const auto& entry : candidates)
         racks[entry.row->description.rack()].push_back(entry);
     return racks;
@@ -102,7 +134,7 @@
 bool hasSuspect(const candidate_list& candidates, const std::vector<std::string>& places)
 {
     return std::any_of(candidates.begin(), candidates.end(), [&](const candidate& entry) {
-        return entry.suspect && std::find(places.begin(), places.end(), entry.name) != places.end();
+        return entry.suspect && std::find(places.begin(), places.end(), *entry.name) != places.end();
     });
 }
 
@@ -155,7 +187,7 @@
 
 double slowdownOf(const tables& state, const step_spec& step, const std::vector<std::string>& workers, double spreadFactor)
 {
-    std::set<std::string> racks;
+    std::set<std::string_view> racks;
     for (const auto& name : workers) {
         if (const auto row = state.workers.find(name); row != state.workers.end())
             racks.insert(row->second.description.rack());
@@ -170,6 +202,8 @@
 
 double faultScoreOf(const worker_row& worker, time_point now)
 {
+    if (worker.faultScore == 0)
+        return 0;
     const double seconds = std::chrono::duration<double>(now - worker.faultScoreAt).count();
     return worker.faultScore * std::exp2(-seconds / faultScoreHalfLifeSeconds);
 }
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -35,6 +35,8 @@
 void scheduler_core::configure(configuration rules)
 {
     m_state.rules = std::move(rules);
+    for (auto& [id, job] : m_state.jobs)
+        job.rule = findRule(m_state.rules, job.job);
 }
 
 void scheduler_core::setDomainsOut(std::set<std::string> domains)
@@ -48,11 +50,16 @@
     const auto [entry, added] = m_state.jobs.try_emplace(id);
     if (!added)
         return;
-    entry->second.job = std::move(job);
-    entry->second.progress = std::move(progress);
-    entry->second.acceptedAt = acceptedAt;
-    entry->second.readySince = now;
-    restoreRuns(entry->second, now);
+    auto& row = entry->second;
+    row.job = std::move(job);
+    row.progress = std::move(progress);
+    row.rule = findRule(m_state.rules, row.job);
+    row.acceptedAt = acceptedAt;
+    row.readySince = now;
+    // Reports can list runs of a job before the job itself is known.
+    for (auto run = m_state.runs.lower_bound({ { id, 0, 0, 0 }, 0 }); run != m_state.runs.end() && run->first.task.job == id; ++run)
+        run->second.job = &row;
+    restoreRuns(row, now);
 }
 
 void scheduler_core::restoreRuns(const job_row& job, time_point now)
@@ -102,7 +109,7 @@
 
 void scheduler_core::applyReport(const std::string& worker, const worker_report& report, time_point now)
 {
-    auto& row = m_state.workers[worker];
+    auto& row = workerOf(m_state, worker);
     endRunsOfOtherIncarnations(worker, report.worker.incarnation, now);
     if (row.description.incarnation != report.worker.incarnation) {
         row.faultScore = 0;
@@ -171,11 +178,10 @@
 /// Run times projected from progress replace estimates, which are off by half and more.
 void scheduler_core::updateShortestRunTime(const live_run& run)
 {
-    const auto job = m_state.jobs.find(run.id.task.job);
-    if (job == m_state.jobs.end() || run.ratePercent <= 0 || run.percent >= 100)
+    if (run.job == nullptr || run.ratePercent <= 0 || run.percent >= 100)
         return;
     const double projectedRunTimeMs = 100 / run.ratePercent * 1000 / run.spread;
-    const auto [known, added] = job->second.shortestRunTimeMs.try_emplace(run.id.task.step, projectedRunTimeMs);
+    const auto [known, added] = run.job->shortestRunTimeMs.try_emplace(run.id.task.step, projectedRunTimeMs);
     if (!added)
         known->second = std::min(known->second, projectedRunTimeMs);
 }
@@ -203,7 +209,7 @@
     const auto isListed = [&](const run_id& id) {
         return std::any_of(report.active.begin(), report.active.end(), [&](const auto& active) { return active.run == id; });
     };
-    for (const auto& id : m_state.workers[worker].runs) {
+    for (const auto& id : workerOf(m_state, worker).runs) {
         auto& run = m_state.runs.at(id);
         if (run.phase == run_phase::Stopping || isListed(id))
             continue;
@@ -216,14 +222,14 @@
 
 void scheduler_core::setUnreachable(const std::string& worker)
 {
-    m_state.workers[worker].reachable = false;
+    workerOf(m_state, worker).reachable = false;
 }
 
 /// Compares the incarnation stored in each run: the worker's entry has none yet if it was created by a restored record.
 void scheduler_core::endRunsOfOtherIncarnations(const std::string& worker, const worker_incarnation& life, time_point now)
 {
     std::vector<run_id> lost;
-    for (const auto& id : m_state.workers[worker].runs) {
+    for (const auto& id : workerOf(m_state, worker).runs) {
         if (m_state.runs.at(id).life != life)
             lost.push_back(id);
     }
@@ -233,7 +239,7 @@
 
 void scheduler_core::markWorkerLost(const std::string& worker, time_point now)
 {
-    const auto lost = m_state.workers[worker].runs;
+    const auto lost = workerOf(m_state, worker).runs;
     for (const auto& id : lost)
         finishRun(id, run_outcome::Lost, {}, now);
 }
@@ -256,7 +262,7 @@
     if (found == m_state.runs.end())
         return;
     if (insufficientResources)
-        m_state.workers[found->second.worker].blockedUntil = now + refusalBackoff;
+        found->second.host->blockedUntil = now + refusalBackoff;
     finishRun(run, run_outcome::Lost, {}, now);
 }
 
@@ -277,22 +283,20 @@
     if (found == m_state.runs.end())
         return;
     const auto run = removeRun(m_state, found);
-    const auto job = m_state.jobs.find(id.task.job);
-    if (job == m_state.jobs.end())
+    if (run.job == nullptr)
         return;
     updateFaultScore(run, how, now);
-    const auto attempts = ruleOf(m_state, job->second).maxAttempts;
     const auto& saved = checkpoint.empty() ? run.checkpoint : checkpoint;
-    if (applyEnd(job->second.progress, job->second.job.spec, id, how, saved, attempts)) {
-        job->second.readySince = now;
+    if (applyEnd(run.job->progress, run.job->job.spec, id, how, saved, run.job->rule.maxAttempts)) {
+        run.job->readySince = now;
         m_changed.insert(id.task.job);
     }
 }
 
 void scheduler_core::updateFaultScore(const live_run& run, run_outcome how, time_point now)
 {
-    auto& worker = m_state.workers[run.worker];
-    auto& job = m_state.jobs.at(run.id.task.job);
+    auto& worker = *run.host;
+    auto& job = *run.job;
     if (how == run_outcome::Done) {
         worker.faultScore = faultScoreOf(worker, now) * faultScoreFactorOnSuccess;
         worker.faultScoreAt = now;
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -94,8 +94,9 @@
 {
     run.phase = run_phase::Stopping;
     run.stoppedAt = now;
+    m_evictionCandidates.clear();
     m_effects.emplace_back(
-        stop_effect { run.id, run.worker, reason, run.percent, run.ratePercent, lostWorkOf(m_state, run, now) });
+        stop_effect { run.id, run.worker, reason, run.percent, run.ratePercent, lostWorkOf(run, now) });
 }
 
 void scheduler_core::stopUnit(const unit_id& unit, const std::string& reason, time_point now)
@@ -111,10 +112,9 @@
 void scheduler_core::stopRunsOfEndedJobs(time_point now)
 {
     for (auto& [id, run] : m_state.runs) {
-        const auto job = m_state.jobs.find(id.task.job);
-        if (run.phase == run_phase::Stopping || job == m_state.jobs.end())
+        if (run.phase == run_phase::Stopping || run.job == nullptr)
             continue;
-        const auto state = job->second.progress.state;
+        const auto state = run.job->progress.state;
         if (state == job_state::Cancelled || state == job_state::Failed)
             stop(run, state == job_state::Failed ? "job failed" : "job cancelled", now);
     }
@@ -122,16 +122,19 @@
 
 void scheduler_core::stopBrokenGangs(time_point now)
 {
+    const auto isWaiting = [](const task_progress& member) { return member.status == task_status::Waiting; };
+    // The runs of a step follow one another, so its members are examined once.
+    const std::vector<task_progress>* examined = nullptr;
+    bool broken = false;
     for (auto& [id, run] : m_state.runs) {
-        const auto job = m_state.jobs.find(id.task.job);
-        if (run.phase == run_phase::Stopping || job == m_state.jobs.end())
+        if (run.phase == run_phase::Stopping || run.job == nullptr || !run.job->job.spec.steps[id.task.step].gang)
             continue;
-        const auto& step = job->second.job.spec.steps[id.task.step];
-        if (!step.gang)
-            continue;
-        const auto& members = job->second.progress.occurrences[id.task.occurrence].steps[id.task.step];
-        const auto isWaiting = [](const task_progress& member) { return member.status == task_status::Waiting; };
-        if (std::any_of(members.begin(), members.end(), isWaiting))
+        const auto& members = run.job->progress.occurrences[id.task.occurrence].steps[id.task.step];
+        if (&members != examined) {
+            examined = &members;
+            broken = std::any_of(members.begin(), members.end(), isWaiting);
+        }
+        if (broken)
             stop(run, "another member ended", now);
     }
 }
@@ -139,12 +142,11 @@
 void scheduler_core::stopRunsOnDrainingWorkers(time_point now)
 {
     for (auto& [id, run] : m_state.runs) {
-        const auto& worker = m_state.workers[run.worker];
+        const auto& worker = *run.host;
         if (run.phase == run_phase::Stopping || !worker.drainDeadline || !worker.reachable)
             continue;
         const auto timeLeft = *worker.drainDeadline - now;
-        const auto job = m_state.jobs.find(id.task.job);
-        const bool savesCheckpoints = job != m_state.jobs.end() && job->second.job.spec.steps[id.task.step].checkpointing;
+        const bool savesCheckpoints = run.job != nullptr && run.job->job.spec.steps[id.task.step].checkpointing;
         // Runs with checkpoints continue until just before the deadline; others that can't end in time are stopped at once,
         // to be restarted elsewhere.
         if (releaseTimeOf(m_state, run) > timeLeft && (!savesCheckpoints || timeLeft < drainStopMargin))
@@ -155,30 +157,29 @@
 void scheduler_core::stopStragglers(time_point now)
 {
     for (auto& [id, run] : m_state.runs) {
-        const auto job = m_state.jobs.find(id.task.job);
-        if (run.phase != run_phase::Active || job == m_state.jobs.end() || !m_state.workers[run.worker].reachable)
+        if (run.phase != run_phase::Active || run.job == nullptr || !run.host->reachable)
             continue;
-        const auto& step = job->second.job.spec.steps[id.task.step];
+        const auto& step = run.job->job.spec.steps[id.task.step];
         // A gang member at 100 % waits for the others and is not stalled.
         if (step.lasting || run.percent >= 100)
             continue;
         const bool stalled = isStalled(m_state, run, m_settings.gangTimeout, now);
-        const bool slow = !job->second.movedAsSlow.contains(id.task) && isSlow(m_state, run);
+        const bool slow = isSlow(m_state, run) && !run.job->movedAsSlow.contains(id.task);
         if ((!stalled && !slow) || !canRestartElsewhere(run, now))
             continue;
         if (!stalled)
-            job->second.movedAsSlow.insert(id.task);
-        auto& worker = m_state.workers[run.worker];
+            run.job->movedAsSlow.insert(id.task);
+        auto& worker = *run.host;
         worker.faultScore = faultScoreOf(worker, now) + faultScorePerStraggler;
         worker.faultScoreAt = now;
-        job->second.failedOn.insert(run.worker);
+        run.job->failedOn.insert(run.worker);
         stopUnit(unitOf(m_state, id.task), stalled ? "it stands still" : "it is slow there", now);
     }
 }
 
 bool scheduler_core::canRestartElsewhere(const live_run& run, time_point now) const
 {
-    const auto& job = m_state.jobs.at(run.id.task.job);
+    const auto& job = *run.job;
     auto request = requestFor(job, unitOf(m_state, run.id.task), now);
     request.avoidedWorkers.insert(run.worker);
     request.excludeSuspects = true;
@@ -201,18 +202,8 @@
                 const auto isWaiting = [](const task_progress& task) { return task.status == task_status::Waiting; };
                 if (std::none_of(tasks.begin(), tasks.end(), isWaiting))
                     continue;
-                // All tasks of a step have the same class, so it is computed once.
-                auto entry = classify(m_state, job, { id, k, s, 0 }, now);
-                if (job.job.spec.steps[s].gang) {
-                    if (std::all_of(tasks.begin(), tasks.end(), isWaiting))
-                        pending.push_back(std::move(entry));
-                    continue;
-                }
-                for (unsigned i = 0; i < tasks.size(); ++i) {
-                    entry.unit.index = i;
-                    if (isWaiting(tasks[i]))
-                        pending.push_back(entry);
-                }
+                if (!job.job.spec.steps[s].gang || std::all_of(tasks.begin(), tasks.end(), isWaiting))
+                    pending.push_back(classify(job, { id, k, s, 0 }, now));
             }
         }
     }
@@ -223,7 +214,7 @@
 placement_request scheduler_core::requestFor(const job_row& job, const unit_id& unit, time_point now) const
 {
     const auto& step = job.job.spec.steps[unit.step];
-    const auto rule = ruleOf(m_state, job);
+    const auto& rule = job.rule;
     placement_request request;
     request.step = &step;
     request.tasks = tasksOf(step);
@@ -231,11 +222,11 @@
     request.organisation = job.job.organisation;
     request.avoidedWorkers = job.failedOn;
     const auto& tasks = job.progress.occurrences[unit.occurrence].steps[unit.step];
-    for (const auto& task : tasks) {
-        if (!step.gang && task.status == task_status::Live)
-            ++request.liveTasksByWorker[task.worker];
+    for (unsigned i = 0; step.antiAffinity != 0 && !step.gang && i < tasks.size(); ++i) {
+        if (tasks[i].status == task_status::Live)
+            ++request.liveTasksByWorker[tasks[i].worker];
     }
-    request.excludeSuspects = !step.lasting && tasks[unit.index].failures + 1 >= rule.maxAttempts;
+    request.excludeSuspects = isLastAttempt(job, unit);
     request.remoteAllowed = now - job.readySince > remotePlacementDelay(step, m_state.guaranteedJobs.contains(unit.job));
     if (const auto held = m_state.reservations.find(unit); held != m_state.reservations.end()) {
         request.reservedNeed = held->second.need;
@@ -249,11 +240,39 @@
     std::erase_if(m_reservationTriedAt, [now](const auto& entry) { return now - entry.second > reservationDuration; });
     std::erase_if(m_lastDeferrals, [this](const auto& entry) { return isFinal(m_state.jobs.at(entry.first.job).progress.state); });
     m_state.guaranteedJobs = findGuaranteedJobs(m_state);
-    for (const auto& entry : collectPending(now))
-        placeUnit(entry, now);
+    m_evictionCandidates.clear();
+    for (auto& entry : collectPending(now))
+        placeStep(entry, now);
     releaseExpiredReservations(now);
 }
 
+/// Tasks of one step need the same, so once a task finds no place the rest of the step finds none either.
+void scheduler_core::placeStep(pending_unit& entry, time_point now)
+{
+    const auto& job = m_state.jobs.at(entry.unit.job);
+    const auto& step = job.job.spec.steps[entry.unit.step];
+    if (step.gang) {
+        placeUnit(entry, now);
+        return;
+    }
+    const auto& tasks = job.progress.occurrences[entry.unit.occurrence].steps[entry.unit.step];
+    for (unsigned i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].status != task_status::Waiting)
+            continue;
+        entry.unit.index = i;
+        // A task in its last attempt is restricted to fewer workers, and a reservation is one task's own.
+        const bool decidesForRest = entry.priority != 0 && !isLastAttempt(job, entry.unit);
+        if (!placeUnit(entry, now) && decidesForRest)
+            return;
+    }
+}
+
+bool scheduler_core::isLastAttempt(const job_row& job, const unit_id& unit)
+{
+    const auto& task = job.progress.occurrences[unit.occurrence].steps[unit.step][unit.index];
+    return !job.job.spec.steps[unit.step].lasting && task.failures + 1 >= job.rule.maxAttempts;
+}
+
 void scheduler_core::releaseExpiredReservations(time_point now)
 {
     for (auto entry = m_state.reservations.begin(); entry != m_state.reservations.end();) {
@@ -289,9 +308,10 @@
 
 std::optional<std::vector<std::string>> scheduler_core::findExpectedPlaces(placement_request request, milliseconds within) const
 {
+    request.expectedFree.resize(m_state.workers.size());
     for (const auto& [id, run] : m_state.runs) {
         if (isStopExpected(run, m_decidedAt) || (run.phase == run_phase::Active && releaseTimeOf(m_state, run) <= within))
-            request.expectedFree[run.worker] += run.need;
+            request.expectedFree[run.host->slot] += run.need;
     }
     return findPlaces(m_state, request, m_decidedAt);
 }
@@ -300,7 +320,7 @@
     const unit_id& unit, const std::vector<std::string>& workers, const resources& need, time_point until)
 {
     for (const auto& worker : workers)
-        m_state.workers[worker].reserved += need;
+        workerOf(m_state, worker).reserved += need;
     m_state.reservations[unit] = { workers, need, until };
 }
 
@@ -317,7 +337,7 @@
     deferral.waited = waited;
 
     // Resources that become free in time without an eviction cost nothing. A guarantee can allow less time than the objective.
-    const double slackMs = static_cast<double>(slackOf(m_state, job, entry.unit, now).count()) * usableSlackShare;
+    const double slackMs = static_cast<double>(slackOf(job, entry.unit, now).count()) * usableSlackShare;
     auto maxWait = milliseconds(static_cast<std::int64_t>(slackMs)) - startMargin;
     if (reclaimsGuarantee)
         maxWait = std::min(maxWait, guaranteeReclaimDelay - waited);
@@ -333,7 +353,7 @@
     const auto right = reclaimDue ? reclaim_right::Due
         : reclaimsGuarantee       ? reclaim_right::Guaranteed
                                   : reclaim_right::None;
-    const auto plan = planEviction(m_state, request, entry.priority, right, now);
+    const auto plan = planEviction(m_state, request, evictionCandidates(right, now), now);
     if (!plan)
         return noteDeferral(deferral, {}, nearEndLimit);
     deferral.victims = plan->victims.size();
@@ -357,6 +377,15 @@
     reserve(entry.unit, plan->workers, need, now + duration);
 }
 
+/// Only units of priority 0 evict, so candidates differ by right alone.
+const eviction_candidates& scheduler_core::evictionCandidates(reclaim_right right, time_point now)
+{
+    auto& known = m_evictionCandidates[right];
+    if (!known)
+        known = collectEvictionCandidates(m_state, 0, right, now);
+    return *known;
+}
+
 void scheduler_core::noteDeferral(
     placement_deferral deferral, const std::vector<std::string>& workers, milliseconds awaitedWithin)
 {
@@ -396,7 +425,7 @@
     if (held == m_state.reservations.end())
         return;
     for (const auto& worker : held->second.workers)
-        m_state.workers[worker].reserved -= held->second.need;
+        workerOf(m_state, worker).reserved -= held->second.need;
     m_state.reservations.erase(held);
 }
 
@@ -412,7 +441,7 @@
         attempt = std::max(attempt, tasks[i].attempt + 1);
     const auto checkpoint = tasks[first].checkpoint;
     const double spread = slowdownOf(m_state, step, workers, m_settings.spreadFactor);
-    const auto slack = slackOf(m_state, job, unit, now);
+    const auto slack = slackOf(job, unit, now);
     const auto waited = std::chrono::duration_cast<milliseconds>(now - job.acceptedAt);
     const bool withinGuarantee = m_state.guaranteedJobs.contains(unit.job);
 
@@ -435,6 +464,7 @@
             run.id, run.worker, run.life, checkpoint, spread, slack, waited, withinGuarantee });
         addRun(m_state, std::move(run));
     }
+    m_evictionCandidates.clear();
     updateState(row.progress, row.job.spec);
     m_changed.insert(unit.job);
 }
--- a/lib/libfleet/source/core/stragglers.cpp
+++ b/lib/libfleet/source/core/stragglers.cpp
@@ -60,13 +60,12 @@
 {
     unsigned rated = 0;
     unsigned slow = 0;
-    for (const auto& id : state.workers.at(suspect.worker).runs) {
+    for (const auto& id : suspect.host->runs) {
         const auto& run = state.runs.at(id);
-        const auto owner = state.jobs.find(id.task.job);
-        if (run.phase != run_phase::Active || run.ratePercent <= 0 || owner == state.jobs.end())
+        if (run.phase != run_phase::Active || run.ratePercent <= 0 || run.job == nullptr)
             continue;
         ++rated;
-        if (slownessOf(run, owner->second) > slowFactor)
+        if (slownessOf(run, *run.job) > slowFactor)
             ++slow;
     }
     if (rated > 1)
@@ -78,12 +77,11 @@
 
 bool isStalled(const tables& state, const live_run& run, milliseconds gangTimeout, time_point now)
 {
-    const auto job = state.jobs.find(run.id.task.job);
-    if (job == state.jobs.end())
+    if (run.job == nullptr)
         return false;
     auto timeout = stallLimit + milliseconds(static_cast<std::int64_t>(run.expectedMs / 100 * stallRunTimePercent));
     // A gang starts to work once its last member is active; until then missing progress is no stall.
-    if (job->second.job.spec.steps[run.id.task.step].gang && run.percent <= 0 && !areAllMembersActive(state, run))
+    if (run.job->job.spec.steps[run.id.task.step].gang && run.percent <= 0 && !areAllMembersActive(state, run))
         timeout += gangTimeout;
     // Only reported progress counts: without recent reports the run may be progressing unobserved.
     return run.reportsSinceAdvance >= minStallReports && run.reportedAt - run.advancedAt > timeout
@@ -92,16 +90,15 @@
 
 bool isSlow(const tables& state, const live_run& run)
 {
-    const auto job = state.jobs.find(run.id.task.job);
-    if (job == state.jobs.end() || run.ratePercent <= 0)
+    if (run.job == nullptr || run.ratePercent <= 0)
         return false;
     const double remainingSeconds = (100 - run.percent) / run.ratePercent;
     double elsewhereSeconds = run.expectedMs / 1000 * estimateErrorFactor;
     // The shortest run time may be that of this run, which gives no comparison.
-    const auto known = job->second.shortestRunTimeMs.find(run.id.task.step);
-    if (known != job->second.shortestRunTimeMs.end() && known->second < projectedRunTimeMs(run) / taskTimeVariation)
+    const auto known = run.job->shortestRunTimeMs.find(run.id.task.step);
+    if (known != run.job->shortestRunTimeMs.end() && known->second < projectedRunTimeMs(run) / taskTimeVariation)
         elsewhereSeconds = known->second / 1000;
-    return remainingSeconds > elsewhereSeconds * minRestartSpeedup + moveCostSeconds && isWorkerSlow(state, run, job->second);
+    return remainingSeconds > elsewhereSeconds * minRestartSpeedup + moveCostSeconds && isWorkerSlow(state, run, *run.job);
 }
 
 } // namespace fleet
--- a/lib/libfleet/source/core/tables.cpp
+++ b/lib/libfleet/source/core/tables.cpp
@@ -12,23 +12,34 @@
 
 } // namespace
 
-queue_rule ruleOf(const tables& state, const job_row& job)
+queue_rule findRule(const configuration& rules, const accepted_job& job)
 {
-    if (const auto* rule = state.rules.findQueueByName(job.job.queue))
+    if (const auto* rule = rules.findQueueByName(job.queue))
         return *rule;
     queue_rule removed;
-    removed.name = job.job.queue;
-    removed.service = job.job.service;
+    removed.name = job.queue;
+    removed.service = job.service;
     removed.priority = lastPriority;
     removed.maxAttempts = maxAttemptsWithoutQueue;
     return removed;
 }
 
+worker_row& workerOf(tables& state, const std::string& name)
+{
+    const auto [entry, added] = state.workers.try_emplace(name);
+    if (added)
+        entry->second.slot = state.workers.size() - 1;
+    return entry->second;
+}
+
 live_run& addRun(tables& state, live_run run)
 {
-    auto& worker = state.workers[run.worker];
+    auto& worker = workerOf(state, run.worker);
     worker.used += run.need;
     worker.runs.insert(run.id);
+    run.host = &worker;
+    if (const auto job = state.jobs.find(run.id.task.job); job != state.jobs.end())
+        run.job = &job->second;
     const auto id = run.id;
     return state.runs.emplace(id, std::move(run)).first->second;
 }
@@ -37,9 +48,8 @@
 {
     auto removed = std::move(run->second);
     state.runs.erase(run);
-    auto& worker = state.workers[removed.worker];
-    worker.used -= removed.need;
-    worker.runs.erase(removed.id);
+    removed.host->used -= removed.need;
+    removed.host->runs.erase(removed.id);
     return removed;
 }
 
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -342,7 +342,7 @@
         return;
     m_environment.metrics.counter("oriole_jobs_finished_total", { { "state", std::string(toString(job->progress.state)) } })
         .add();
-    const auto rule = ruleOf(m_core.state(), *job);
+    const auto& rule = job->rule;
     const auto age = std::chrono::duration_cast<milliseconds>(m_environment.loop.timers().now() - job->acceptedAt);
     oriole::logEvent(oriole::log_level::Info, "job_finished",
         { { "job", id }, { "queue", job->job.queue }, { "priority", rule.priority }, { "state", toString(job->progress.state) },
--- /dev/null
+++ b/tests/fleet/load_replay.cpp
@@ -0,0 +1,391 @@
+#include "load_replay.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <ctime>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace fleet::test {
+
+namespace {
+
+constexpr milliseconds stepLength { 10 };
+constexpr milliseconds reportPeriod { 600 };
+constexpr milliseconds tickPeriod { 200 };
+// Store write and order of a start; stop and report of an end.
+constexpr milliseconds startDelay { 40 };
+constexpr milliseconds stopDelay { 150 };
+constexpr milliseconds endReportDelay { 40 };
+constexpr milliseconds checkpointPeriod { 500 };
+constexpr double restoreMs = 600;
+constexpr double lateShare = 0.8;
+constexpr int lateFactor = 3;
+
+const time_point origin = time_point(std::chrono::seconds(1000));
+
+double processorMs()
+{
+    timespec now {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return static_cast<double>(now.tv_sec) * 1e3 + static_cast<double>(now.tv_nsec) / 1e6;
+}
+
+struct arrival {
+    time_point at;
+    accepted_job job;
+    double runTimeFactor = 1; ///< True run time by the declared one.
+};
+
+struct simulated_run {
+    std::string worker;
+    time_point orderedAt;
+    double doneMs = 0; ///< Work done, including what a checkpoint carried.
+    double savedMs = 0;
+    double slowdown = 1;
+    double restoreLeftMs = 0;
+    bool stopping = false;
+    time_point stopAt;
+};
+
+class load_player {
+public:
+    explicit load_player(const replay_load& load)
+        : m_load(load)
+        , m_random(load.seed)
+        , m_core(core_settings {})
+    {
+        configuration rules;
+        rules.queues = load.queues;
+        for (unsigned i = 0; i < load.organisations; ++i)
+            rules.organisations.push_back({ "org" + std::to_string(i), {}, load.guaranteedAccelerators });
+        m_core.configure(rules);
+        drawArrivals();
+    }
+
+    replay_outcome play()
+    {
+        const auto end = origin + m_load.arrivals + m_load.drain;
+        for (m_now = origin; m_now < end; m_now += stepLength)
+            playStep();
+        for (const auto& entry : m_arrivals)
+            addOutcome(entry);
+        return std::move(m_outcome);
+    }
+
+private:
+    double uniform(double from, double to) { return std::uniform_real_distribution<double>(from, to)(m_random); }
+
+    void drawArrivals()
+    {
+        unsigned number = 0;
+        for (const auto& kind : m_load.kinds) {
+            for (auto at = milliseconds(0); at < m_load.arrivals;) {
+                double rate = kind.perSecond;
+                for (const auto& burst : m_load.bursts) {
+                    if (burst.queue == kind.queue && at >= burst.from && at < burst.from + burst.length)
+                        rate *= burst.factor;
+                }
+                at += milliseconds(1 + static_cast<std::int64_t>(-std::log(uniform(1e-9, 1)) / rate * 1000));
+                m_arrivals.push_back(drawJob(kind, at, number++));
+            }
+        }
+        std::sort(m_arrivals.begin(), m_arrivals.end(),
+            [](const arrival& a, const arrival& b) { return std::tie(a.at, a.job.id) < std::tie(b.at, b.job.id); });
+    }
+
+    arrival drawJob(const job_kind& kind, milliseconds at, unsigned number)
+    {
+        arrival out;
+        out.at = origin + at;
+        // Ids are spread like those that callers choose.
+        auto mixed = (number + 1) * 0x9E3779B97F4A7C15U;
+        for (unsigned i = 0; i < 16; ++i, mixed >>= 4U)
+            out.job.id += "0123456789abcdef"[mixed & 15U];
+        out.job.queue = kind.queue;
+        out.job.service = "app";
+        out.job.organisation = "org" + std::to_string(static_cast<unsigned>(std::pow(uniform(0, 1), 1.5) * m_load.organisations));
+        step_spec step;
+        const double width = -std::log(uniform(1e-9, 1)) * kind.meanWidth;
+        step.count = std::clamp(static_cast<unsigned>(width) + 1, 1U, kind.maxWidth);
+        step.need = { kind.millicores, kind.memoryMb, kind.accelerators[m_random() % kind.accelerators.size()] };
+        step.gang = kind.gang;
+        step.sameRack = kind.gang && uniform(0, 1) < kind.sameRackShare;
+        step.checkpointing = uniform(0, 1) < kind.checkpointShare;
+        const double trueMs = static_cast<double>(kind.runTimeMs) * uniform(0.7, 1.3);
+        const double error = 1 + uniform(0, kind.estimateError);
+        step.runTimeMs = static_cast<std::int64_t>(uniform(0, 1) < 0.5 ? trueMs * error : trueMs / error);
+        out.runTimeFactor = trueMs / static_cast<double>(step.runTimeMs);
+        out.job.spec.steps = { step };
+        return out;
+    }
+
+    void playStep()
+    {
+        bool news = false;
+        while (m_nextArrival < m_arrivals.size() && m_arrivals[m_nextArrival].at <= m_now) {
+            m_core.addJob(m_arrivals[m_nextArrival].job, {}, m_now, m_now);
+            m_factors[m_arrivals[m_nextArrival].job.id] = m_arrivals[m_nextArrival].runTimeFactor;
+            ++m_nextArrival;
+            news = true;
+        }
+        work();
+        news = sendReports() || news;
+        if (news || m_now - m_decidedAt >= tickPeriod)
+            decide();
+    }
+
+    /// @brief A gang works while all its members are there; a single task works by itself.
+    void work()
+    {
+        for (auto entry = m_runs.begin(); entry != m_runs.end();) {
+            const auto& first = entry->first;
+            auto last = entry;
+            bool all = true;
+            unsigned members = 0;
+            const auto& job = m_core.findJob(first.task.job)->job;
+            const auto& step = job.spec.steps[first.task.step];
+            do {
+                all = all && m_now >= last->second.orderedAt + startDelay && !last->second.stopping;
+                ++members;
+                ++last;
+            } while (step.gang && last != m_runs.end() && isSameStep(last->first.task, first.task));
+            const bool works = all && (!step.gang || members == step.count);
+            const double totalMs = static_cast<double>(step.runTimeMs) * m_factors.at(job.id);
+            bool done = false;
+            for (auto run = entry; run != last; ++run) {
+                if (works)
+                    advance(run->second, step);
+                done = done || run->second.doneMs >= totalMs;
+                if (run->second.stopping && m_now >= run->second.stopAt)
+                    m_ends.push_back({ run->first, run->second, run_outcome::Stopped });
+            }
+            for (auto run = entry; done && run != last; ++run)
+                m_ends.push_back({ run->first, run->second, run_outcome::Done });
+            entry = last;
+        }
+        for (const auto& end : m_ends)
+            finish(end);
+        m_ends.clear();
+    }
+
+    void advance(simulated_run& run, const step_spec& step)
+    {
+        const auto length = static_cast<double>(stepLength.count());
+        m_outcome.usedCoreSeconds += length / 1000 * step.need.weight();
+        if (run.restoreLeftMs > 0) {
+            run.restoreLeftMs -= length;
+            return;
+        }
+        run.doneMs += length / run.slowdown;
+        if (step.checkpointing && run.doneMs - run.savedMs >= static_cast<double>(checkpointPeriod.count()))
+            run.savedMs = run.doneMs;
+    }
+
+    struct run_end {
+        run_id id;
+        simulated_run run;
+        run_outcome how = run_outcome::Done;
+    };
+
+    void finish(const run_end& end)
+    {
+        const auto& step = m_core.findJob(end.id.task.job)->job.spec.steps[end.id.task.step];
+        std::string checkpoint;
+        if (end.how == run_outcome::Stopped) {
+            const double saved = step.checkpointing ? end.run.doneMs : 0;
+            m_outcome.lostCoreSeconds += (end.run.doneMs - saved) / 1000 * step.need.weight();
+            if (saved > 0)
+                checkpoint = std::to_string(static_cast<std::int64_t>(saved));
+        }
+        auto& worker = m_workers[end.run.worker];
+        worker.ended.push_back({ ++worker.endCount, end.id, end.how, checkpoint });
+        worker.reportAt = std::min(worker.reportAt, m_now + endReportDelay);
+        m_runs.erase(end.id);
+    }
+
+    bool sendReports()
+    {
+        if (m_workers.empty())
+            addWorkers();
+        bool news = false;
+        for (auto& [name, worker] : m_workers) {
+            if (worker.reportAt > m_now)
+                continue;
+            auto report = worker.report;
+            report.ended = std::exchange(worker.ended, {});
+            for (const auto& id : worker.runs) {
+                if (const auto run = m_runs.find(id); run != m_runs.end() && m_now >= run->second.orderedAt + startDelay)
+                    report.active.push_back(describe(id, run->second));
+            }
+            std::erase_if(worker.runs, [this](const run_id& id) { return !m_runs.contains(id); });
+            news = news || m_core.canChangeDecision(name, report);
+            const double began = processorMs();
+            m_core.applyReport(name, report, m_now);
+            m_outcome.reportMs.push_back(processorMs() - began);
+            worker.reportAt = m_now + reportPeriod;
+        }
+        return news;
+    }
+
+    active_run describe(const run_id& id, const simulated_run& run)
+    {
+        const auto& step = m_core.findJob(id.task.job)->job.spec.steps[id.task.step];
+        const double totalMs = static_cast<double>(step.runTimeMs) * m_factors.at(id.task.job);
+        active_run out { id, {}, std::floor(std::min(100.0, run.doneMs / totalMs * 100)) };
+        if (run.savedMs > 0)
+            out.checkpoint = std::to_string(static_cast<std::int64_t>(run.savedMs));
+        return out;
+    }
+
+    void addWorkers()
+    {
+        for (unsigned i = 0; i < m_load.workers; ++i) {
+            simulated_worker worker;
+            worker.report.worker.incarnation = { "i" + std::to_string(i), 1 };
+            worker.report.worker.service = "app";
+            worker.report.worker.failureDomain = "domain-" + std::to_string(i / m_load.workersPerRack % 6);
+            worker.report.worker.labels = { "a", "r" + std::to_string(i / m_load.workersPerRack) };
+            worker.report.worker.capacity = m_load.capacity;
+            worker.reportAt = m_now + milliseconds(i * reportPeriod.count() / m_load.workers);
+            m_core.applyReport("side-" + std::to_string(i), worker.report, m_now);
+            m_workers["side-" + std::to_string(i)] = std::move(worker);
+        }
+    }
+
+    void decide()
+    {
+        m_decidedAt = m_now;
+        const double began = processorMs();
+        const auto effects = m_core.decide(m_now, 0);
+        m_outcome.decisionMs.push_back(processorMs() - began);
+        for (const auto& entry : effects)
+            std::visit([this](const auto& order) { perform(order); }, entry);
+        std::size_t waiting = 0;
+        for (const auto& [id, job] : m_core.state().jobs) {
+            for (const auto& occurrence : job.progress.occurrences) {
+                for (const auto& task : occurrence.steps.front())
+                    waiting += task.status == task_status::Waiting ? 1 : 0;
+            }
+        }
+        m_outcome.mostWaitingTasks = std::max(m_outcome.mostWaitingTasks, waiting);
+        m_core.takeChangedJobs();
+        m_core.takeDeferrals();
+    }
+
+    void perform(const start_effect& order)
+    {
+        ++m_outcome.starts;
+        mix("start", order.run, order.worker);
+        simulated_run run;
+        run.worker = order.worker;
+        run.orderedAt = m_now;
+        run.slowdown = order.slowdown;
+        if (!order.checkpoint.empty()) {
+            run.doneMs = run.savedMs = std::stod(order.checkpoint);
+            run.restoreLeftMs = restoreMs;
+        }
+        m_runs[order.run] = run;
+        m_workers[order.worker].runs.insert(order.run);
+        m_core.startAccepted(order.run, m_now);
+    }
+
+    void perform(const stop_effect& order)
+    {
+        mix("stop", order.run, order.worker);
+        if (order.reason == "room for urgent work")
+            ++m_outcome.evictedRuns;
+        const auto run = m_runs.find(order.run);
+        if (run == m_runs.end() || run->second.stopping)
+            return;
+        run->second.stopping = true;
+        run->second.stopAt = m_now + stopDelay;
+    }
+
+    void mix(const std::string& what, const run_id& run, const std::string& worker)
+    {
+        for (const char letter : what + toString(run.task) + "#" + std::to_string(run.attempt) + "@" + worker)
+            m_outcome.digest = (m_outcome.digest ^ static_cast<unsigned char>(letter)) * 0x100000001B3U;
+    }
+
+    void addOutcome(const arrival& entry)
+    {
+        const auto* job = m_core.findJob(entry.job.id);
+        const auto& rule = job->rule;
+        auto& queue = m_outcome.queues[rule.name];
+        const double value = 0.3 + 0.7 * std::min(4.0, workOf(entry.job.spec) / 1000);
+        const auto objective = objectiveOf(entry.job.spec, rule);
+        // A job that can no longer be judged when the replay ends is not counted.
+        if (entry.at + objective > m_now)
+            return;
+        ++queue.jobs;
+        queue.owed += value;
+        if (job->progress.state != job_state::Completed)
+            return;
+        const auto age = job->readySince - entry.at;
+        if (age <= objective) {
+            ++queue.inTime;
+            queue.value += value;
+        } else if (age <= objective * lateFactor) {
+            ++queue.late;
+            queue.value += value * lateShare;
+        }
+    }
+
+    struct simulated_worker {
+        worker_report report;
+        std::vector<ended_run> ended;
+        std::uint64_t endCount = 0;
+        std::set<run_id> runs;
+        time_point reportAt;
+    };
+
+    const replay_load& m_load;
+    std::mt19937_64 m_random;
+    scheduler_core m_core;
+    time_point m_now = origin;
+    time_point m_decidedAt = origin;
+    std::vector<arrival> m_arrivals;
+    std::size_t m_nextArrival = 0;
+    std::map<std::string, double> m_factors;
+    std::map<std::string, simulated_worker> m_workers;
+    std::map<run_id, simulated_run> m_runs;
+    std::vector<run_end> m_ends;
+    replay_outcome m_outcome;
+};
+
+} // namespace
+
+double replay_outcome::worth() const
+{
+    double value = 0;
+    double owed = 0;
+    for (const auto& [name, queue] : queues) {
+        value += queue.value;
+        owed += queue.owed;
+    }
+    return owed > 0 ? value / owed : 0;
+}
+
+replay_load largeLoad(unsigned workers, double factor)
+{
+    replay_load load;
+    load.workers = workers;
+    const double scale = factor * workers / 160;
+    load.queues = { { "bundle", "host", "/bundle/", "app", 1, 3, 3, 1200, true },
+        { "check", "host", "/check/", "app", 0, 3, 1.5, 300, true },
+        { "sweep", "host", "/sweep/", "app", 2, 3, 3, 3000, true } };
+    load.kinds = { { "bundle", 0.872 * scale, 13, 76, 52'000, 140'000, { 1, 2, 4, 8, 8 }, 8500, 0.5, true, 0.6, 0.45 },
+        { "check", 4.36 * scale, 5.3, 32, 15'000, 39'000, { 1, 2, 4, 8, 8 }, 2500, 0.2, true, 0.8, 0 },
+        { "sweep", 1.07 * scale, 38, 230, 11'000, 23'000, { 1 }, 6100, 0.5, false, 0, 0.45 } };
+    load.bursts = { { "check", milliseconds(10'000), milliseconds(6000), 2.4 }, { "sweep", milliseconds(12'000), milliseconds(4000), 2.6 } };
+    return load;
+}
+
+replay_outcome replay(const replay_load& load)
+{
+    return load_player(load).play();
+}
+
+} // namespace fleet::test
--- /dev/null
+++ b/tests/fleet/load_replay.hpp
@@ -0,0 +1,82 @@
+/// @file
+/// @brief Replays a drawn load against a scheduler core: arrivals, run ends and workers are tables, and time is simulated.
+#pragma once
+
+#include <fleet/core/scheduler_core.hpp>
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace fleet::test {
+
+/// @brief One kind of job of a load.
+struct job_kind {
+    std::string queue;
+    double perSecond = 0;
+    double meanWidth = 1; ///< Tasks of the job's step; drawn from an exponential distribution.
+    unsigned maxWidth = 1;
+    std::int64_t millicores = 0;
+    std::int64_t memoryMb = 0;
+    std::vector<std::int64_t> accelerators; ///< Of each task; one of these.
+    std::int64_t runTimeMs = 0;
+    double estimateError = 0; ///< The declared run time is off by a factor of up to 1 plus this.
+    bool gang = false;
+    double sameRackShare = 0;
+    double checkpointShare = 0;
+};
+
+/// @brief A time during which one kind of job arrives more often.
+struct load_burst {
+    std::string queue;
+    milliseconds from { 0 };
+    milliseconds length { 0 };
+    double factor = 1;
+};
+
+struct replay_load {
+    unsigned workers = 160;
+    unsigned workersPerRack = 8;
+    resources capacity { 128'000, 262'144, 8 };
+    unsigned organisations = 24;
+    std::int64_t guaranteedAccelerators = 30; ///< Of each organisation.
+    std::vector<queue_rule> queues;
+    std::vector<job_kind> kinds;
+    std::vector<load_burst> bursts;
+    milliseconds arrivals { 30'000 }; ///< Length of the span in which jobs arrive.
+    milliseconds drain { 14'000 }; ///< Time after the last arrival.
+    std::uint64_t seed = 1;
+};
+
+/// @brief The load of a deployment of hundreds of workers: urgent and wide gangs beside batch steps of many tasks.
+replay_load largeLoad(unsigned workers, double factor);
+
+/// @brief What callers received for one queue.
+struct queue_outcome {
+    unsigned jobs = 0;
+    unsigned inTime = 0;
+    unsigned late = 0;
+    double value = 0; ///< Value earned, by work and by objective.
+    double owed = 0; ///< Value if every job had been completed in time.
+};
+
+struct replay_outcome {
+    std::map<std::string, queue_outcome> queues;
+    double lostCoreSeconds = 0; ///< Work of stopped runs that no checkpoint kept.
+    double usedCoreSeconds = 0;
+    unsigned starts = 0;
+    unsigned evictedRuns = 0;
+    std::vector<double> decisionMs; ///< Processor time of each decision.
+    std::vector<double> reportMs; ///< Processor time of each report.
+    std::size_t mostWaitingTasks = 0;
+    std::uint64_t digest = 0; ///< Of all effects in order; equal digests mean equal decisions.
+
+    [[nodiscard]] double worth() const;
+};
+
+/// @brief Plays the load.
+replay_outcome replay(const replay_load& load);
+
+} // namespace fleet::test
