The scheduler logs its load once a second

Cause: the take-over incident showed gaps in the holder's log, but not what the time went to. Change: one line a second with decisions, reports, their processor time, the size of the tables and the largest delay of the event loop.

--- a/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
+++ b/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
@@ -58,6 +58,18 @@
         bool writeSent = false; ///< A write that includes this start was sent to the store.
     };
 
+    /// @brief What the scheduler did since the load was last logged.
+    struct load_counters {
+        time_point since;
+        unsigned decisions = 0;
+        double decisionMs = 0;
+        double longestDecisionMs = 0;
+        unsigned reports = 0;
+        double reportMs = 0;
+        double performMs = 0;
+        milliseconds longestDelay { 0 }; ///< Largest delay of a tick, which shows how long the event loop was busy.
+    };
+
     /// @brief Run ends of one agent that it reported and that are not acknowledged yet.
     struct unacknowledged_ends {
         worker_incarnation life;
@@ -81,6 +93,7 @@
     void sendStop(const run_id& run);
     void recorded(const std::string& job);
     void logFinished(const std::string& id);
+    void logLoad(time_point now);
     void tick();
 
     environment m_environment;
@@ -99,6 +112,8 @@
     unsigned m_mirrorsLoaded = 0;
     bool m_ready = false;
     bool m_decisionDue = false;
+    load_counters m_load;
+    time_point m_tickedAt;
     oriole::timer_service::subscription_id m_tickSubscription = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -20,6 +20,13 @@
 // A job's age is the difference of the clocks of two machines; a larger one means that a clock jumped.
 constexpr milliseconds maxJobAge { 600'000 };
 
+constexpr milliseconds loadLogPeriod { 1000 };
+
+double millisecondsSince(std::chrono::steady_clock::time_point began)
+{
+    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+}
+
 std::string idOf(const std::string& key, const std::string& prefix)
 {
     return key.substr(prefix.size());
@@ -186,6 +193,7 @@
         m_reportsBeforeLoad[agent] = report;
         return;
     }
+    const auto began = std::chrono::steady_clock::now();
     for (const auto& ended : report.ended) {
         if (!m_ends[agent].jobs.contains(ended.number) || m_ends[agent].life != report.worker.incarnation) {
             oriole::logEvent(oriole::log_level::Info, "run_ended",
@@ -206,6 +214,8 @@
         if (state.runs.at(id).phase == run_phase::Stopping && !m_pendingStops.contains(id))
             sendStop(id);
     }
+    ++m_load.reports;
+    m_load.reportMs += millisecondsSince(began);
     // A report that changes nothing but progress is considered at the next tick.
     if (news)
         scheduleDecision();
@@ -262,7 +272,10 @@
         return;
     const auto began = std::chrono::steady_clock::now();
     const auto effects = m_core.decide(m_environment.loop.timers().now(), unixMilliseconds());
-    const auto tookMs = std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - began).count();
+    const auto tookMs = millisecondsSince(began);
+    ++m_load.decisions;
+    m_load.decisionMs += tookMs;
+    m_load.longestDecisionMs = std::max(m_load.longestDecisionMs, tookMs);
     m_environment.metrics.summary("oriole_decision_milliseconds").observe(tookMs);
     for (const auto& job : m_core.takeChangedJobs())
         m_writer.markDirty(job);
@@ -270,6 +283,7 @@
         report(deferral);
     for (const auto& entry : effects)
         std::visit([this](const auto& order) { perform(order); }, entry);
+    m_load.performMs += millisecondsSince(began) - tookMs;
 }
 
 void fleet_scheduler::perform(const start_effect& order)
@@ -349,6 +363,22 @@
             { "age_ms", age.count() }, { "objective_ms", objectiveOf(job->job.spec, rule).count() } });
 }
 
+void fleet_scheduler::logLoad(time_point now)
+{
+    if (m_tickedAt != time_point {})
+        m_load.longestDelay = std::max(m_load.longestDelay, std::chrono::duration_cast<milliseconds>(now - m_tickedAt) - tickPeriod);
+    m_tickedAt = now;
+    if (m_load.since != time_point {} && now - m_load.since < loadLogPeriod)
+        return;
+    const auto& state = m_core.state();
+    oriole::logEvent(oriole::log_level::Info, "scheduler_load",
+        { { "epoch", m_epoch }, { "jobs", state.jobs.size() }, { "live_runs", state.runs.size() },
+            { "agents_connected", m_agents.connected() }, { "decisions", m_load.decisions }, { "decision_ms", m_load.decisionMs },
+            { "longest_decision_ms", m_load.longestDecisionMs }, { "perform_ms", m_load.performMs }, { "reports", m_load.reports },
+            { "report_ms", m_load.reportMs }, { "loop_delay_ms", m_load.longestDelay.count() } });
+    m_load = { now };
+}
+
 void fleet_scheduler::sendStart(const start_effect& order)
 {
     const auto& runs = m_core.state().runs;
@@ -403,6 +433,7 @@
 void fleet_scheduler::tick()
 {
     const auto now = m_environment.loop.timers().now();
+    logLoad(now);
     m_agents.check(now);
     std::erase_if(m_pendingStops, [this](const run_id& id) { return !m_core.state().runs.contains(id); });
     scheduleDecision();
