A take-over orders what was recorded and not ordered, instead of stopping and placing it anew

Change: such a run is ordered again as the same attempt on the same worker under the new epoch. That cannot start it twice: the report was polled under the new epoch, so the worker refuses older orders, and it takes one attempt of a task once. A refused order is followed by a stop, whose answer shows whether the run ended there. An agent no longer reports what it polled before a take-over as the worker's state.

--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -16,7 +16,7 @@
 
 namespace fleet {
 
-/// @brief A run to be started. Its record has to be written to the store before.
+/// @brief A run to be started. Its record has to be written to the store before, unless it is recorded already.
 struct start_effect {
     run_id run;
     std::string worker;
@@ -26,6 +26,7 @@
     milliseconds slack { 0 }; ///< Slack to the job's objective when the run was placed.
     milliseconds waited { 0 }; ///< Time since the job was accepted.
     bool withinGuarantee = false; ///< Whether the job was within its organisation's guarantee.
+    bool isRecorded = false; ///< An earlier scheduler recorded this attempt and did not order it, or the order was lost.
 };
 
 /// @brief A run to be stopped. The worker may not have it.
@@ -123,6 +124,9 @@
     void beginDueOccurrences(std::int64_t unixMs, time_point now);
     void stopRunsOfEndedJobs(time_point now);
     void stopBrokenGangs(time_point now);
+    void orderRestoredRuns(time_point now);
+    void orderRestoredUnit(live_run& run, time_point now);
+    [[nodiscard]] bool mayStartRestored(const live_run& run, time_point now) const;
     void stopRunsOnDrainingWorkers(time_point now);
     void stopStragglers(time_point now);
     void placePendingUnits(time_point now);
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -66,6 +66,14 @@
     Stopping, ///< A stop was decided; the end is not yet confirmed.
 };
 
+/// @brief State of a run that an earlier scheduler recorded.
+enum class restore_state {
+    None, ///< This scheduler placed the run, or the worker has reported it.
+    Unknown, ///< Whether its start was ordered is not known; the worker's next report shows whether it has the run.
+    Absent, ///< The worker does not have it, so its start has to be ordered again.
+    Ordered, ///< Its start was ordered again.
+};
+
 struct live_run {
     run_id id;
     job_row* job = nullptr; ///< Null for a run whose job is not known.
@@ -87,6 +95,7 @@
     std::string checkpoint;
     time_point checkpointAt; ///< When the checkpoint last changed.
     bool progressKnown = false; ///< A report after the start-up time has shown its progress.
+    restore_state restored = restore_state::None;
     bool unconfirmed = false; ///< It is unknown whether the worker has the run; the worker's next report shows it.
     time_point stoppedAt; ///< When its stop was decided, in phase Stopping.
     std::optional<time_point> missingSince; ///< Since when the worker's reports have not listed the run.
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -142,10 +142,11 @@
     m_epoch = epoch;
     m_link = std::move(link);
     // The first report to this scheduler has to include the effects of all requests of earlier schedulers. A poll that
-    // is already in flight may predate them.
+    // is already in flight may predate them, and so does what the last one returned.
     ++m_pollNumber;
     m_polling = false;
     m_reportedAt = {};
+    m_report.responsive = false;
     poll(milliseconds(0));
     return true;
 }
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -78,7 +78,7 @@
                 run.need = job.job.spec.steps[s].held();
                 run.expectedMs = static_cast<double>(job.job.spec.steps[s].runTimeMs);
                 run.placedAt = run.advancedAt = run.windowStartedAt = run.checkpointAt = now;
-                run.unconfirmed = true;
+                run.restored = restore_state::Unknown;
                 addRun(m_state, std::move(run));
             }
         }
@@ -147,6 +147,7 @@
 void scheduler_core::updateProgress(live_run& run, const active_run& active, time_point now)
 {
     run.unconfirmed = false;
+    run.restored = restore_state::None;
     run.missingSince.reset();
     if (run.phase == run_phase::Placed)
         run.phase = run_phase::Active;
@@ -215,6 +216,9 @@
             continue;
         if (!run.missingSince && run.phase == run_phase::Active)
             run.missingSince = now;
+        // The report was made under this scheduler's epoch, so no order of an earlier one can take effect any more.
+        if (run.restored == restore_state::Unknown)
+            run.restored = restore_state::Absent;
         if (run.unconfirmed || (run.phase == run_phase::Active && now - *run.missingSince > missingRunTimeout))
             stop(run, "not at its worker", now);
     }
@@ -252,6 +256,7 @@
     auto& started = found->second;
     started.phase = run_phase::Active;
     started.unconfirmed = false;
+    started.restored = restore_state::None;
     started.missingSince.reset();
     started.advancedAt = started.windowStartedAt = started.checkpointAt = now;
 }
@@ -263,6 +268,9 @@
         return;
     if (insufficientResources)
         found->second.host->blockedUntil = now + refusalBackoff;
+    // The run may have ended there already; the worker's answer to a stop shows it.
+    if (found->second.restored == restore_state::Ordered)
+        return stop(found->second, "its restored start was refused", now);
     finishRun(run, run_outcome::Lost, {}, now);
 }
 
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -291,8 +291,11 @@
     oriole::logEvent(oriole::log_level::Info, "run_placed",
         { { "task", toString(order.run.task) }, { "attempt", order.run.attempt }, { "agent", order.worker },
             { "spread", order.slowdown }, { "slack_ms", order.slack.count() }, { "resumes", !order.checkpoint.empty() },
-            { "waited_ms", order.waited.count() }, { "within_guarantee", order.withinGuarantee } });
+            { "waited_ms", order.waited.count() }, { "within_guarantee", order.withinGuarantee },
+            { "recorded", order.isRecorded } });
     m_environment.metrics.counter("oriole_starts_total").add();
+    if (order.isRecorded)
+        return sendStart(order);
     if (order.run.attempt == 1)
         m_environment.metrics.summary("oriole_placement_wait_milliseconds",
                                  { { "within_guarantee", order.withinGuarantee ? "true" : "false" } })
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -106,6 +106,35 @@
 
 } // namespace
 
+// A scheduler orders again what its predecessor recorded and the worker does not list. A report from before the take-over may
+// lack a run that the predecessor ordered meanwhile.
+TEST_CASE("after a take-over nothing that was polled before it counts as the worker's state", "[agent][take-over]")
+{
+    agent_fixture fixture;
+    REQUIRE(fixture.link->reports.back().responsive);
+    auto next = std::make_shared<fake_link>();
+    REQUIRE(fixture.agent.attach(6, next));
+    SECTION("a draining heartbeat is reported before the next poll is answered")
+    {
+        fixture.heartbeat.worker.draining = true;
+        ++fixture.heartbeat.sequence;
+        fixture.agent.handleHeartbeat(fixture.heartbeat);
+        REQUIRE(next->reports.size() == 1);
+        CHECK_FALSE(next->reports.back().responsive);
+    }
+    SECTION("the first poll fails")
+    {
+        fixture.record.polls.back().second(oriole::mayHaveRun(oriole::failure_kind::Timeout, "no answer"));
+        REQUIRE(next->reports.size() == 1);
+        CHECK_FALSE(next->reports.back().responsive);
+    }
+    fixture.advance(300);
+    CHECK(fixture.record.polls.back().first.epoch == 6);
+    fixture.answerPoll({ { fixture.run, {}, 10 } });
+    CHECK(next->reports.back().responsive);
+    CHECK(next->reports.back().active.size() == 1);
+}
+
 TEST_CASE("a start that was retried after a time-out is never reported as refused", "[agent]")
 {
     agent_fixture fixture;
