The strongest entry runs the scheduler; decisions leave time for the lease and stop when it is not confirmed

Cause: the weakest entry (0.12 cores) took the scheduler's record as soon as the strongest (0.5), and again right after it had lost it. A holder that could not renew went on deciding and evicting, though nothing could be recorded. Attempts to acquire added up with each removal of the record. After a decision four times its duration (150 ms at most) is left to the rest of the event loop. Without a confirmation for the lease's 2 s nothing is decided, and the log says what the time went to. One attempt to acquire is scheduled at a time.

--- a/lib/libfleet/include/fleet/entry/fleet_entry.hpp
+++ b/lib/libfleet/include/fleet/entry/fleet_entry.hpp
@@ -24,8 +24,14 @@
         entry_peers& peers;
     };
 
-    /// @param address RPC address of this entry for other entries.
-    fleet_entry(environment dependencies, const std::string& name, const std::string& address, scheduler_settings settings);
+    /// @brief What this entry tells others about itself.
+    struct identity {
+        std::string name;
+        std::string address; ///< RPC address for other entries.
+        double cores = 0; ///< Processor share; 0 if unknown.
+    };
+
+    fleet_entry(environment dependencies, identity self, scheduler_settings settings);
     ~fleet_entry();
     fleet_entry(const fleet_entry&) = delete;
     fleet_entry& operator=(const fleet_entry&) = delete;
@@ -48,6 +54,7 @@
     void loseLeadership();
     void startScheduler();
     void announceSelf();
+    [[nodiscard]] std::optional<milliseconds> timeBeforeClaim(bool lostRecently) const;
 
     environment m_dependencies;
     scheduler_settings m_settings;
@@ -55,8 +62,9 @@
     store_mirror m_schedulerRecord;
     store_mirror m_agents;
     store_mirror m_entries;
-    std::string m_name;
-    std::string m_address;
+    store_mirror m_cores;
+    identity m_self;
+    time_point m_startedAt;
     std::unique_ptr<fleet_scheduler> m_scheduler;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/lib/libfleet/include/fleet/records/job_codec.hpp
+++ b/lib/libfleet/include/fleet/records/job_codec.hpp
@@ -17,6 +17,7 @@
 inline const std::string status = "oriole/status/"; ///< Queue and state of a job, for replies to callers.
 inline const std::string cancels = "oriole/cancel/"; ///< A cancellation; written by the entry that received it.
 inline const std::string members = "oriole/member/"; ///< Addresses of agents and entries.
+inline const std::string cores = "oriole/cores/"; ///< Processor share of each entry in cores.
 inline const std::string scheduler = "oriole/scheduler"; ///< The entry that runs the scheduler; bound to its lease.
 } // namespace record_keys
 
--- a/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
+++ b/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
@@ -86,6 +86,7 @@
     void acknowledgeEnds(const std::string& agent);
     void scheduleDecision();
     void decide();
+    [[nodiscard]] bool isEpochConfirmed();
     void perform(const start_effect& order);
     void perform(const stop_effect& order);
     void report(const placement_deferral& deferral);
@@ -112,6 +113,8 @@
     unsigned m_mirrorsLoaded = 0;
     bool m_ready = false;
     bool m_decisionDue = false;
+    bool m_decisionsSuspended = false; ///< The store has not confirmed the epoch within the lease's duration.
+    time_point m_nextDecisionAt; ///< Decisions take at most a share of the process's time.
     load_counters m_load;
     time_point m_tickedAt;
     oriole::timer_service::subscription_id m_tickSubscription = 0;
--- a/lib/libfleet/include/fleet/scheduler/leadership.hpp
+++ b/lib/libfleet/include/fleet/scheduler/leadership.hpp
@@ -13,12 +13,17 @@
 
 using oriole::time_point;
 
+/// @brief Duration of the lease on the scheduler's record. After a scheduler died, its successor waits at most this long.
+constexpr milliseconds leaseTtl { 2000 };
+
 /// @brief Acquires the scheduler's record and renews its lease. The store revision that created the record is the epoch.
 class leadership {
 public:
     struct handlers {
         std::function<void(std::uint64_t epoch)> acquired;
         std::function<void(const std::string& reason)> lost;
+        /// @brief Time to wait between the removal of the record and the claim; no value if it is not known yet. Optional.
+        std::function<std::optional<milliseconds>(bool lostRecently)> claimDelay = {};
     };
 
     /// @param clock Returns the current time of a clock that keeps counting while the machine is suspended.
@@ -48,6 +53,8 @@
 
 private:
     void tryAcquire();
+    void acquireAfter(milliseconds delay);
+    [[nodiscard]] milliseconds timeToClaim();
     [[nodiscard]] bool isFromEarlierProcess(const record& found) const;
     void removeStaleRecord(const record& found);
     void claim();
@@ -65,6 +72,9 @@
     std::int64_t m_lease = 0;
     std::optional<std::uint64_t> m_epoch;
     time_point m_confirmedAt;
+    std::optional<time_point> m_missingSince; ///< When the record was first found missing.
+    std::optional<time_point> m_lostAt; ///< When this entry last lost the record.
+    oriole::timer_service::subscription_id m_acquireSubscription = 0;
     bool m_acquiring = false;
     bool m_resigned = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/lib/libfleet/source/entry/fleet_entry.cpp
+++ b/lib/libfleet/source/entry/fleet_entry.cpp
@@ -2,8 +2,12 @@
 
 #include <fleet/records/job_codec.hpp>
 
+#include <fleet/scheduler/claim_delay.hpp>
+
 #include <oriole/helpers/log.hpp>
 
+#include <cstdlib>
+
 #include <utility>
 
 namespace fleet {
@@ -13,6 +17,8 @@
 const std::string agentsPrefix = record_keys::members + "agent/";
 const std::string entriesPrefix = record_keys::members + "entry/";
 constexpr milliseconds announceRetry { 500 };
+// Entries that start together have announced their processor shares within this time.
+constexpr milliseconds announceTime { 600 };
 
 std::string agentName(const std::string& key)
 {
@@ -26,17 +32,18 @@
     return agentsPrefix + agent;
 }
 
-fleet_entry::fleet_entry(
-    environment dependencies, const std::string& name, const std::string& address, scheduler_settings settings)
+fleet_entry::fleet_entry(environment dependencies, identity self, scheduler_settings settings)
     : m_dependencies(std::move(dependencies))
     , m_settings(settings)
-    , m_leadership(m_dependencies.store, m_dependencies.loop.timers(), m_dependencies.clock, name,
-          { [this](std::uint64_t epoch) { becomeLeader(epoch); }, [this](const std::string&) { loseLeadership(); } })
+    , m_leadership(m_dependencies.store, m_dependencies.loop.timers(), m_dependencies.clock, self.name,
+          { [this](std::uint64_t epoch) { becomeLeader(epoch); }, [this](const std::string&) { loseLeadership(); },
+              [this](bool lostRecently) { return timeBeforeClaim(lostRecently); } })
     , m_schedulerRecord(m_dependencies.store, m_dependencies.loop.timers(), record_keys::scheduler)
     , m_agents(m_dependencies.store, m_dependencies.loop.timers(), agentsPrefix)
     , m_entries(m_dependencies.store, m_dependencies.loop.timers(), entriesPrefix)
-    , m_name(name)
-    , m_address(address)
+    , m_cores(m_dependencies.store, m_dependencies.loop.timers(), record_keys::cores)
+    , m_self(std::move(self))
+    , m_startedAt(m_dependencies.loop.timers().now())
 {
 }
 
@@ -64,14 +71,35 @@
                 m_dependencies.peers.add(change.item.value);
         },
         {});
+    m_cores.start({}, {});
     announceSelf();
     m_leadership.start();
 }
 
+std::optional<milliseconds> fleet_entry::timeBeforeClaim(bool lostRecently) const
+{
+    if (!m_cores.loaded())
+        return std::nullopt;
+    std::vector<double> others;
+    for (const auto& [key, item] : m_cores.records()) {
+        if (key != record_keys::cores + m_self.name)
+            others.push_back(std::strtod(item.value.c_str(), nullptr));
+    }
+    if (others.empty() && m_dependencies.loop.timers().now() - m_startedAt < announceTime)
+        return std::nullopt;
+    const auto delay = claimDelay(m_self.cores, others, lostRecently);
+    oriole::logEvent(oriole::log_level::Info, "claim_considered",
+        { { "cores", m_self.cores }, { "other_entries", others.size() }, { "lost_recently", lostRecently },
+            { "delay_ms", delay.count() } });
+    return delay;
+}
+
 void fleet_entry::announceSelf()
 {
     record_transaction announcement;
-    announcement.writes = { { entriesPrefix + m_name, m_address } };
+    announcement.writes = { { entriesPrefix + m_self.name, m_self.address } };
+    if (m_self.cores > 0)
+        announcement.writes.push_back({ record_keys::cores + m_self.name, std::to_string(m_self.cores) });
     m_dependencies.store.commit(std::move(announcement), [this, alive = m_alive](const result<commit_outcome>& outcome) {
         if (!*alive || outcome)
             return;
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <fleet/model/unix_time.hpp>
 #include <fleet/records/job_codec.hpp>
+#include <fleet/scheduler/leadership.hpp>
 
 #include <oriole/helpers/log.hpp>
 
@@ -21,6 +22,9 @@
 constexpr milliseconds maxJobAge { 600'000 };
 
 constexpr milliseconds loadLogPeriod { 1000 };
+// After a decision this many times its own duration is left to reports, store writes and the renewal of the lease.
+constexpr int decisionPauseFactor = 4;
+constexpr milliseconds maxDecisionPause { 150 };
 
 double millisecondsSince(std::chrono::steady_clock::time_point began)
 {
@@ -259,16 +263,40 @@
     if (m_decisionDue)
         return;
     m_decisionDue = true;
+    const auto pause = std::chrono::ceil<milliseconds>(m_nextDecisionAt - m_environment.loop.timers().now());
+    if (pause.count() > 0) {
+        m_environment.loop.timers().subscribeOnce(pause, [this, alive = m_alive](time_point) {
+            if (*alive)
+                decide();
+        });
+        return;
+    }
     m_environment.loop.detach("decide", kj::evalLater([this, alive = m_alive] {
         if (*alive)
             decide();
     }));
 }
 
+/// After the lease may have ended another entry may decide. Until the store confirms the epoch again nothing new is decided:
+/// it could not be recorded, and evictions would be for work that can't start.
+bool fleet_scheduler::isEpochConfirmed()
+{
+    const auto age = std::chrono::duration_cast<milliseconds>(m_environment.clock() - m_environment.leadershipConfirmedAt());
+    const bool suspended = age > leaseTtl;
+    if (suspended != m_decisionsSuspended) {
+        m_decisionsSuspended = suspended;
+        oriole::logEvent(oriole::log_level::Warning, suspended ? "decisions_suspended" : "decisions_resumed",
+            { { "epoch", m_epoch }, { "confirmed_ms_ago", age.count() }, { "loop_delay_ms", m_load.longestDelay.count() },
+                { "decision_ms", m_load.decisionMs }, { "longest_decision_ms", m_load.longestDecisionMs },
+                { "report_ms", m_load.reportMs }, { "perform_ms", m_load.performMs } });
+    }
+    return !suspended;
+}
+
 void fleet_scheduler::decide()
 {
     m_decisionDue = false;
-    if (!m_ready)
+    if (!m_ready || !isEpochConfirmed())
         return;
     const auto began = std::chrono::steady_clock::now();
     const auto effects = m_core.decide(m_environment.loop.timers().now(), unixMilliseconds());
@@ -283,7 +311,10 @@
         report(deferral);
     for (const auto& entry : effects)
         std::visit([this](const auto& order) { perform(order); }, entry);
-    m_load.performMs += millisecondsSince(began) - tookMs;
+    const auto wholeMs = millisecondsSince(began);
+    m_load.performMs += wholeMs - tookMs;
+    const auto pause = std::min(maxDecisionPause, milliseconds(static_cast<std::int64_t>(wholeMs * decisionPauseFactor)));
+    m_nextDecisionAt = m_environment.loop.timers().now() + pause;
 }
 
 void fleet_scheduler::perform(const start_effect& order)
--- a/lib/libfleet/source/scheduler/leadership.cpp
+++ b/lib/libfleet/source/scheduler/leadership.cpp
@@ -11,12 +11,15 @@
 
 namespace {
 
-// After a scheduler died, its successor waits at most this long. The lease allows four renewals.
-constexpr milliseconds leaseTtl { 2000 };
+// The lease allows four renewals.
 constexpr milliseconds renewPeriod { 500 };
 constexpr milliseconds renewRetry { 150 };
 // Entries retry at this period. Usually the watch reports a removed record earlier.
 constexpr milliseconds acquirePeriod { 700 };
+// Retry period while it is not known how this entry compares to others.
+constexpr milliseconds claimRetry { 100 };
+// An entry that lost the record within this time lets others claim it first.
+constexpr milliseconds recentLossTime { 10'000 };
 
 } // namespace
 
@@ -51,10 +54,22 @@
 
 void leadership::recordChanged(bool exists)
 {
+    if (exists)
+        m_missingSince.reset();
     if (!exists && !m_epoch && !m_acquiring)
         tryAcquire();
 }
 
+/// One attempt is scheduled at a time; a new one replaces it.
+void leadership::acquireAfter(milliseconds delay)
+{
+    m_timers.cancel(m_acquireSubscription);
+    m_acquireSubscription = m_timers.subscribeOnce(delay, [this, alive = m_alive](time_point) {
+        if (*alive)
+            tryAcquire();
+    });
+}
+
 void leadership::tryAcquire()
 {
     if (m_acquiring || m_epoch || m_resigned)
@@ -66,15 +81,19 @@
         m_acquiring = false;
         if (found && isFromEarlierProcess(found.value()))
             return removeStaleRecord(found.value());
-        if (!found || found.value().revision != 0)
-            return runAfter(acquirePeriod, &leadership::tryAcquire);
+        if (!found || found.value().revision != 0) {
+            m_missingSince.reset();
+            return acquireAfter(acquirePeriod);
+        }
+        if (const auto delay = timeToClaim(); delay.count() > 0)
+            return acquireAfter(delay);
         m_acquiring = true;
         m_store.grantLease(leaseTtl, [this, alive](const result<std::int64_t>& lease) {
             if (!*alive)
                 return;
             if (!lease) {
                 m_acquiring = false;
-                return runAfter(acquirePeriod, &leadership::tryAcquire);
+                return acquireAfter(acquirePeriod);
             }
             m_lease = lease.value();
             claim();
@@ -82,6 +101,20 @@
     });
 }
 
+milliseconds leadership::timeToClaim()
+{
+    const auto now = m_clock();
+    if (!m_missingSince)
+        m_missingSince = now;
+    if (!m_handlers.claimDelay)
+        return milliseconds(0);
+    const bool lostRecently = m_lostAt && now - *m_lostAt < recentLossTime;
+    const auto delay = m_handlers.claimDelay(lostRecently);
+    if (!delay)
+        return claimRetry;
+    return *delay - std::chrono::duration_cast<milliseconds>(now - *m_missingSince);
+}
+
 /// A process of the same name wrote the record. It has ended, since this one replaced it, so its lease need not expire first.
 bool leadership::isFromEarlierProcess(const record& found) const
 {
@@ -100,7 +133,7 @@
         m_acquiring = false;
         if (outcome && outcome.value().applied)
             return tryAcquire();
-        runAfter(acquirePeriod, &leadership::tryAcquire);
+        acquireAfter(acquirePeriod);
     });
 }
 
@@ -126,13 +159,14 @@
         if (found && found.value().revision != 0 && found.value().value == m_token)
             return becomeLeader(static_cast<std::uint64_t>(found.value().revision), sentAt);
         m_acquiring = false;
-        runAfter(acquirePeriod, &leadership::tryAcquire);
+        acquireAfter(acquirePeriod);
     });
 }
 
 void leadership::becomeLeader(std::uint64_t epoch, time_point sentAt)
 {
     m_acquiring = false;
+    m_missingSince.reset();
     m_epoch = epoch;
     m_confirmedAt = sentAt;
     oriole::logEvent(oriole::log_level::Info, "leadership_acquired", { { "epoch", epoch } });
@@ -168,6 +202,7 @@
         return;
     oriole::logEvent(oriole::log_level::Warning, "leadership_lost", { { "epoch", *m_epoch }, { "reason", reason } });
     m_epoch.reset();
+    m_lostAt = m_clock();
     m_handlers.lost(reason);
     tryAcquire();
 }
--- a/tests/fleet/fleet_scheduler_test.cpp
+++ b/tests/fleet/fleet_scheduler_test.cpp
@@ -69,13 +69,15 @@
     static fleet_scheduler::environment makeEnvironment(takeover_fixture& self)
     {
         const auto now = [&self] { return self.loop.timers().now(); };
-        return { self.loop, self.store, self.metrics, now, now, [](time_point) {}, [](const std::string&) {} };
+        const auto confirmedAt = [&self] { return self.loop.timers().now() - self.sinceConfirmed; };
+        return { self.loop, self.store, self.metrics, now, confirmedAt, [](time_point) {}, [](const std::string&) {} };
     }
 
     oriole::event_loop loop;
     oriole::metrics_registry metrics;
     fake_store store;
     unsigned starts = 0;
+    milliseconds sinceConfirmed { 0 }; ///< Time since the store last confirmed the scheduler's epoch.
     worker_agent agent { loop.timers(), [this] { return loop.timers().now(); }, {},
         [this](const worker_heartbeat&) { return std::make_unique<idle_worker>(loop, starts); } };
     agent_server server { loop, agent, metrics, agentAddress };
@@ -124,3 +126,24 @@
     REQUIRE(status != fixture.store.records.end());
     CHECK(decodeStatus(status->second.value)->state == job_state::Cancelled);
 }
+
+// A holder of the record that can't renew its lease may have a successor already. What it decides can't be recorded, and the
+// runs that it evicts are stopped for nothing.
+TEST_CASE("a scheduler decides nothing while its lease may have ended, and goes on once it is confirmed", "[scheduler][leadership]")
+{
+    takeover_fixture fixture;
+    fixture.sinceConfirmed = milliseconds(2500);
+    for (unsigned i = 0; i < 40; ++i) {
+        fixture.store.run();
+        fixture.pass(milliseconds(10));
+    }
+    CHECK_FALSE(fixture.store.records.contains(record_keys::progress + "0123456789abcdef"));
+    CHECK(fixture.starts == 0);
+
+    fixture.sinceConfirmed = milliseconds(100);
+    for (unsigned i = 0; i < 60 && fixture.starts == 0; ++i) {
+        fixture.store.run();
+        fixture.pass(milliseconds(10));
+    }
+    CHECK(fixture.starts == 1);
+}
