A gang whose members progress alike is not restarted as slow; a unit is moved once

A run was judged by the estimate when no faster task of its step was known, and each member of a gang could move it once.

--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -55,8 +55,8 @@
     /// By step: shortest run time projected from progress, with the slow-down away from the data taken out.
     std::map<unsigned, double> shortestRunTimeMs;
     std::map<unit_id, unsigned> evictions; ///< How often each unit was evicted for urgent work.
-    /// Tasks restarted because they were slow. Each is restarted once: if it is slow again, the cause is the task itself.
-    std::set<task_id> movedAsSlow;
+    /// Units restarted because they were slow. Each is restarted once: if it is slow again, the cause is the unit itself.
+    std::set<unit_id> movedAsSlow;
     std::set<std::string> failedOn; ///< Workers on which a run of the job failed, stalled or was slow.
 };
 
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -214,11 +214,11 @@
         if (step.lasting || run.percent >= 100)
             continue;
         const bool stalled = isStalled(m_state, run, m_settings.gangTimeout, now);
-        const bool slow = isSlow(m_state, run) && !run.job->movedAsSlow.contains(id.task);
+        const bool slow = isSlow(m_state, run) && !run.job->movedAsSlow.contains(unitOf(m_state, id.task));
         if ((!stalled && !slow) || !canRestartElsewhere(run, now))
             continue;
         if (!stalled)
-            run.job->movedAsSlow.insert(id.task);
+            run.job->movedAsSlow.insert(unitOf(m_state, id.task));
         auto& worker = *run.host;
         worker.faultScore = faultScoreOf(worker, now) + faultScorePerStraggler;
         worker.faultScoreAt = now;
--- a/lib/libfleet/source/core/stragglers.cpp
+++ b/lib/libfleet/source/core/stragglers.cpp
@@ -38,6 +38,34 @@
     return true;
 }
 
+/// @brief Whether the sibling can be compared with the run: it has a rate, or started together with it.
+bool isComparable(const live_run& run, const live_run& sibling)
+{
+    if (sibling.host == run.host || sibling.phase != run_phase::Active || sibling.percent <= 0)
+        return false;
+    return sibling.ratePercent > 0 || sibling.placedAt == run.placedAt;
+}
+
+/// @brief Whether at least half of the other tasks of the step, on other workers, progress about as slowly as the run. Then the
+/// estimate is wrong, not the worker.
+bool progressesLikeSiblings(const tables& state, const live_run& run)
+{
+    unsigned compared = 0;
+    unsigned alike = 0;
+    for (auto entry = firstRunOf(state, run.id.task);
+         entry != state.runs.end() && isSameStep(entry->first.task, run.id.task); ++entry) {
+        const auto& sibling = entry->second;
+        if (!isComparable(run, sibling))
+            continue;
+        ++compared;
+        const bool isFaster = sibling.ratePercent > 0 ? sibling.ratePercent * sibling.spread > run.ratePercent * run.spread * taskTimeVariation
+                                                      : sibling.percent > run.percent * taskTimeVariation;
+        if (!isFaster)
+            ++alike;
+    }
+    return compared > 0 && alike * 2 >= compared;
+}
+
 /// @brief Total run time at the present rate, with the slow-down away from the data taken out.
 double projectedRunTimeMs(const live_run& run)
 {
@@ -98,7 +126,8 @@
     const auto known = run.job->shortestRunTimeMs.find(run.id.task.step);
     if (known != run.job->shortestRunTimeMs.end() && known->second < projectedRunTimeMs(run) / taskTimeVariation)
         elsewhereSeconds = known->second / 1000;
-    return remainingSeconds > elsewhereSeconds * minRestartSpeedup + moveCostSeconds && isWorkerSlow(state, run, *run.job);
+    return remainingSeconds > elsewhereSeconds * minRestartSpeedup + moveCostSeconds && !progressesLikeSiblings(state, run)
+        && isWorkerSlow(state, run, *run.job);
 }
 
 } // namespace fleet
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -328,6 +328,40 @@
     }
 }
 
+// A gang of 19 whose estimate was a sixth of its run time was restarted seven times, each time because another member was taken
+// as slow, though all members progressed alike on 19 workers.
+TEST_CASE("a gang is not restarted as slow while its members progress alike, and once at most", "[core][stragglers][gang]")
+{
+    core_fixture fixture;
+    const std::vector<std::string> workers { "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8", "w9", "wa", "wb", "wc" };
+    for (const auto& name : workers)
+        fixture.report(name, workerReport("r1"));
+    auto gang = step(4, 8, 1600);
+    gang.gang = true;
+    fixture.add(job("a", "batch", { gang }));
+    REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 4);
+    const auto began = fixture.now;
+    SECTION("all members take seven times the estimate, give or take a fifth")
+    {
+        CHECK(passTime(fixture, workers, 10, [&](const live_run& run) {
+            return std::min(99.0, secondsSince(began, fixture.now) * (7.1 + 0.6 * run.id.task.index));
+        }).empty());
+    }
+    SECTION("one member is slow, and after the restart another one")
+    {
+        const auto isSlowMember = [](const live_run& run) { return run.id.task.index == run.id.attempt; };
+        const auto percentOf = [&](const live_run& run) {
+            return std::min(99.0, secondsSince(run.placedAt, fixture.now) * (isSlowMember(run) ? 1 : 9));
+        };
+        const auto stops = passTime(fixture, workers, 4, percentOf);
+        REQUIRE(stops.size() == 4);
+        for (const auto& order : stops)
+            fixture.core.confirmRunAbsent(order.run, fixture.now);
+        REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 4);
+        CHECK(passTime(fixture, workers, 8, percentOf).empty());
+    }
+}
+
 TEST_CASE("a long task on a healthy worker is not stopped, tasks on a slow worker are", "[core][stragglers]")
 {
     core_fixture fixture;
