--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -43,6 +43,7 @@
     WaitsForRuns, ///< Resources are reserved that live runs are expected to free in time.
     WaitsForEvictions, ///< Resources are reserved that evicted runs free.
     OverBudget, ///< An eviction is possible, but more work would be lost than the unit is worth.
+    TooLate, ///< Its objective can't be met any more, so nothing is evicted for it outside of a guarantee.
     NoPlan, ///< The unit does not fit even after evictions.
 };
 
@@ -136,6 +137,8 @@
     void startUnit(const job_row& job, const unit_id& unit, const std::vector<std::string>& workers, time_point now);
     [[nodiscard]] std::optional<std::vector<std::string>> findExpectedPlaces(
         placement_request request, milliseconds within) const;
+    void collectFor(const placement_request& request, milliseconds slack);
+    void releaseCollections();
     void reserve(const unit_id& unit, const std::vector<std::string>& workers, const resources& need, time_point until);
     void reserveOrEvict(const pending_unit& entry, const placement_request& request, time_point now);
     const eviction_candidates& evictionCandidates(reclaim_right right, time_point now);
@@ -151,6 +154,7 @@
     core_settings m_settings;
     tables m_state;
     time_point m_decidedAt;
+    std::vector<reservation> m_collections; ///< Room that the present decision keeps for waiting gangs below priority 0.
     std::map<reclaim_right, std::optional<eviction_candidates>> m_evictionCandidates; ///< Of the present decision.
     std::map<unit_id, time_point> m_reservationTriedAt; ///< When a reservation or eviction for a unit last failed.
     std::map<unit_id, deferral_reason> m_lastDeferrals; ///< Repeated failures of a unit are reported once.
--- a/tests/fleet/load_replay.cpp
+++ b/tests/fleet/load_replay.cpp
@@ -20,7 +20,6 @@
 constexpr milliseconds endReportDelay { 40 };
 constexpr milliseconds checkpointPeriod { 500 };
 constexpr double restoreMs = 600;
-constexpr double lateShare = 0.8;
 constexpr int lateFactor = 3;
 
 const time_point origin = time_point(std::chrono::seconds(1000));
@@ -114,8 +113,8 @@
         step.sameRack = kind.gang && uniform(0, 1) < kind.sameRackShare;
         step.checkpointing = uniform(0, 1) < kind.checkpointShare;
         const double trueMs = static_cast<double>(kind.runTimeMs) * uniform(0.7, 1.3);
-        const double error = 1 + uniform(0, kind.estimateError);
-        step.runTimeMs = static_cast<std::int64_t>(uniform(0, 1) < 0.5 ? trueMs * error : trueMs / error);
+        const double error = std::exp(std::normal_distribution<double>(0, kind.estimateError)(m_random));
+        step.runTimeMs = std::max<std::int64_t>(200, static_cast<std::int64_t>(trueMs * error));
         out.runTimeFactor = trueMs / static_cast<double>(step.runTimeMs);
         out.job.spec.steps = { step };
         return out;
@@ -314,22 +313,23 @@
         const auto* job = m_core.findJob(entry.job.id);
         const auto& rule = job->rule;
         auto& queue = m_outcome.queues[rule.name];
-        const double value = 0.3 + 0.7 * std::min(4.0, workOf(entry.job.spec) / 1000);
+        const auto& kind = *std::find_if(m_load.kinds.begin(), m_load.kinds.end(), [&](const auto& one) { return one.queue == rule.name; });
+        const double share = std::min(4.0, 0.3 + 0.7 * entry.job.spec.steps.front().count / kind.meanWidth);
         const auto objective = objectiveOf(entry.job.spec, rule);
         // A job that can no longer be judged when the replay ends is not counted.
         if (entry.at + objective > m_now)
             return;
         ++queue.jobs;
-        queue.owed += value;
+        queue.owed += kind.value * share;
         if (job->progress.state != job_state::Completed)
             return;
         const auto age = job->readySince - entry.at;
         if (age <= objective) {
             ++queue.inTime;
-            queue.value += value;
+            queue.value += kind.value * share;
         } else if (age <= objective * lateFactor) {
             ++queue.late;
-            queue.value += value * lateShare;
+            queue.value += kind.lateValue * share;
         }
     }
 
@@ -376,9 +376,9 @@
     load.queues = { { "bundle", "host", "/bundle/", "app", 1, 3, 3, 1200, true },
         { "check", "host", "/check/", "app", 0, 3, 1.5, 300, true },
         { "sweep", "host", "/sweep/", "app", 2, 3, 3, 3000, true } };
-    load.kinds = { { "bundle", 0.872 * scale, 13, 76, 52'000, 140'000, { 1, 2, 4, 8, 8 }, 8500, 0.5, true, 0.6, 0.45 },
-        { "check", 4.36 * scale, 5.3, 32, 15'000, 39'000, { 1, 2, 4, 8, 8 }, 2500, 0.2, true, 0.8, 0 },
-        { "sweep", 1.07 * scale, 38, 230, 11'000, 23'000, { 1 }, 6100, 0.5, false, 0, 0.45 } };
+    load.kinds = { { "bundle", 0.872 * scale, 13, 76, 52'000, 140'000, { 1, 2, 4, 8, 8 }, 8500, 0.5, true, 0.6, 0.45, 3, 0.9 },
+        { "check", 4.36 * scale, 5.3, 32, 15'000, 39'000, { 1, 2, 4, 8, 8 }, 2500, 0.2, true, 0.8, 0, 4, 0.8 },
+        { "sweep", 1.07 * scale, 38, 230, 11'000, 23'000, { 1 }, 6100, 0.5, false, 0, 0.45, 1, 0.3 } };
     load.bursts = { { "check", milliseconds(10'000), milliseconds(6000), 2.4 }, { "sweep", milliseconds(12'000), milliseconds(4000), 2.6 } };
     return load;
 }
--- a/tests/fleet/load_replay.hpp
+++ b/tests/fleet/load_replay.hpp
@@ -22,10 +22,12 @@
     std::int64_t memoryMb = 0;
     std::vector<std::int64_t> accelerators; ///< Of each task; one of these.
     std::int64_t runTimeMs = 0;
-    double estimateError = 0; ///< The declared run time is off by a factor of up to 1 plus this.
+    double estimateError = 0; ///< Standard deviation of the logarithm of declared by true run time.
     bool gang = false;
     double sameRackShare = 0;
     double checkpointShare = 0;
+    double value = 1; ///< Of a job of mean size that is completed in time.
+    double lateValue = 0; ///< Of one that is completed within three times its objective.
 };
 
 /// @brief A time during which one kind of job arrives more often.
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -541,3 +541,84 @@
     REQUIRE(stops.size() == 1);
     CHECK(stops[0].run.task.index == 1);
 }
+
+// In bursts of urgent gangs the fleet was emptied for gangs that could not meet their objective any more.
+TEST_CASE("urgent work that can't meet its objective evicts nothing unless it is guaranteed", "[core][eviction]")
+{
+    core_fixture fixture;
+    fixture.report("w1", workerReport("r1"));
+    fixture.add(job("batch-job", "batch", { step(8, 1, 8000) }));
+    REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 8);
+    fixture.now += milliseconds(3000);
+    auto urgent = job("urgent-job", "urgent", { step(1, 8, 2000) });
+    urgent.organisation = "holder";
+    SECTION("in time: the batch tasks give way")
+    {
+        fixture.core.addJob(urgent, {}, fixture.now, fixture.now);
+        CHECK(core_fixture::only<stop_effect>(fixture.decide()).size() == 8);
+    }
+    // Half of its run time and 300 ms are to spare.
+    fixture.core.addJob(urgent, {}, fixture.now - milliseconds(1400), fixture.now - milliseconds(1400));
+    SECTION("too late: it waits for room")
+    {
+        CHECK(core_fixture::only<stop_effect>(fixture.decide()).empty());
+        const auto deferrals = fixture.core.takeDeferrals();
+        REQUIRE(deferrals.size() == 1);
+        CHECK(deferrals[0].reason == deferral_reason::TooLate);
+    }
+    SECTION("too late, within a guarantee: the batch tasks give way")
+    {
+        configuration rules;
+        rules.queues = { queue("urgent", 0, 1.5, 300), queue("batch", 2) };
+        rules.organisations = { { "holder", {}, 8 } };
+        fixture.core.configure(rules);
+        CHECK(core_fixture::only<stop_effect>(fixture.decide()).size() == 8);
+    }
+}
+
+// Wide gangs of a middle priority starved beside steps of many small tasks: each task that ended made room for another one.
+TEST_CASE("room that small tasks free is collected for a gang that waits, not filled with more small tasks", "[core][gang]")
+{
+    core_fixture fixture;
+    configuration rules;
+    rules.queues = { queue("urgent", 0, 1.5, 300), queue("middle", 1, 8, 4000), queue("batch", 2) };
+    fixture.core.configure(rules);
+    const std::vector<std::string> workers { "w1", "w2" };
+    for (const auto& name : workers)
+        fixture.report(name, workerReport("r1"));
+    fixture.add(job("small", "batch", { step(60, 2, 4000) }));
+    REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 8);
+    auto gang = step(2, 8, 4000);
+    gang.gang = true;
+    fixture.add(job("wide", "middle", { gang }));
+
+    // The tasks end at different times, one on each worker every second.
+    std::optional<time_point> startedAt;
+    const auto began = fixture.now;
+    while (!startedAt && fixture.now - began < milliseconds(10'000)) {
+        fixture.now += milliseconds(500);
+        for (const auto& worker : workers) {
+            auto report = workerReport("r1");
+            for (const auto& [id, run] : fixture.core.state().runs) {
+                if (run.worker != worker)
+                    continue;
+                const double runTimeMs = 2000 + 1000 * (id.task.index % 4);
+                const double percent = std::chrono::duration<double, std::milli>(fixture.now - run.placedAt).count() / runTimeMs * 100;
+                if (percent >= 100)
+                    report.ended.push_back({ ++fixture.endCount, id, run_outcome::Done, {} });
+                else
+                    report.active.push_back({ id, {}, percent });
+            }
+            fixture.core.applyReport(worker, report, fixture.now);
+        }
+        for (const auto& order : core_fixture::only<start_effect>(fixture.decide())) {
+            if (order.run.task.job == "wide")
+                startedAt = fixture.now;
+        }
+    }
+    REQUIRE(startedAt);
+    CHECK(*startedAt - began <= milliseconds(6000));
+    // The room is kept within one decision only, so it never holds up urgent work.
+    for (const auto& name : workers)
+        CHECK(fixture.core.state().workers.at(name).reserved == resources {});
+}
