--- a/lib/libfleet/include/fleet/core/job_progress.hpp
+++ b/lib/libfleet/include/fleet/core/job_progress.hpp
@@ -44,6 +44,9 @@
 /// @brief Adds the next occurrence with all tasks waiting.
 void beginOccurrence(job_progress& progress, const job_spec& spec);
 
+/// @brief Whether recorded progress can be that of the job: it has the job's steps and tasks, and each live run has a worker.
+bool fitsJob(const job_progress& progress, const job_spec& spec);
+
 /// @return The task's progress, or null if the job has no such task or the occurrence has not begun.
 task_progress* findTask(job_progress& progress, const task_id& task);
 
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -103,13 +103,23 @@
     }
     const bool newIncarnation = m_runtime == nullptr || life != known || heartbeat.address != m_worker.address;
     const bool wasDraining = !newIncarnation && m_worker.worker.draining;
+    std::shared_ptr<backend_runtime> runtime;
+    if (newIncarnation) {
+        try {
+            runtime = m_makeRuntime(heartbeat);
+        } catch (const std::exception& error) {
+            oriole::logEvent(oriole::log_level::Warning, "heartbeat_unusable",
+                { { "instance", life.instance }, { "address", heartbeat.address }, { "error", error.what() } });
+            return false;
+        }
+    }
     m_worker = heartbeat;
     m_report.worker = heartbeat.worker;
     if (newIncarnation) {
         oriole::logEvent(oriole::log_level::Info, "worker_registered",
             { { "instance", life.instance }, { "born_unix_ms", life.startedUnixMs }, { "address", heartbeat.address },
                 { "accelerators", heartbeat.worker.capacity.accelerators } });
-        m_runtime = m_makeRuntime(heartbeat);
+        m_runtime = std::move(runtime);
         m_acknowledgedUpTo = 0;
         m_report.active.clear();
         m_report.ended.clear();
--- a/lib/libfleet/source/core/job_progress.cpp
+++ b/lib/libfleet/source/core/job_progress.cpp
@@ -42,6 +42,19 @@
     progress.occurrences.push_back(std::move(occurrence));
 }
 
+bool fitsJob(const job_progress& progress, const job_spec& spec)
+{
+    if (progress.occurrences.size() > spec.occurrences())
+        return false;
+    const auto hasPlace = [](const task_progress& task) { return task.status != task_status::Live || !task.worker.empty(); };
+    return std::all_of(progress.occurrences.begin(), progress.occurrences.end(), [&](const occurrence_progress& occurrence) {
+        return std::equal(occurrence.steps.begin(), occurrence.steps.end(), spec.steps.begin(), spec.steps.end(),
+            [&](const step_progress& tasks, const step_spec& step) {
+                return tasks.size() == step.count && std::all_of(tasks.begin(), tasks.end(), hasPlace);
+            });
+    });
+}
+
 task_progress* findTask(job_progress& progress, const task_id& task)
 {
     if (task.occurrence >= progress.occurrences.size())
--- a/lib/libfleet/source/core/objective.cpp
+++ b/lib/libfleet/source/core/objective.cpp
@@ -9,6 +9,21 @@
 // A job counts as late for up to three times its objective; after that its value no longer depends on when it completes.
 constexpr int lateFactor = 3;
 
+/// @brief By step: critical path from its start to the end of the job. Steps depend on earlier ones only, so each dependency is
+/// followed once.
+std::vector<milliseconds> pathsToEnd(const job_spec& spec)
+{
+    std::vector<milliseconds> paths(spec.steps.size());
+    for (std::size_t step = spec.steps.size(); step-- > 0;) {
+        paths[step] += milliseconds(spec.steps[step].runTimeMs);
+        for (const auto earlier : spec.steps[step].after) {
+            if (earlier < step)
+                paths[earlier] = std::max(paths[earlier], paths[step]);
+        }
+    }
+    return paths;
+}
+
 time_point submissionTime(const job_row& job, unsigned occurrence)
 {
     if (job.job.spec.repeatCount == 0)
@@ -35,22 +50,14 @@
 
 milliseconds criticalPathFrom(const job_spec& spec, unsigned step)
 {
-    milliseconds longest { 0 };
-    for (unsigned later = step + 1; later < spec.steps.size(); ++later) {
-        const auto& after = spec.steps[later].after;
-        if (std::find(after.begin(), after.end(), step) != after.end())
-            longest = std::max(longest, criticalPathFrom(spec, later));
-    }
-    return longest + milliseconds(spec.steps[step].runTimeMs);
+    return pathsToEnd(spec).at(step);
 }
 
 milliseconds criticalPath(const job_spec& spec)
 {
     milliseconds longest { 0 };
-    for (unsigned step = 0; step < spec.steps.size(); ++step) {
-        if (spec.steps[step].after.empty())
-            longest = std::max(longest, criticalPathFrom(spec, step));
-    }
+    for (const auto path : pathsToEnd(spec))
+        longest = std::max(longest, path);
     return longest;
 }
 
--- a/lib/libfleet/source/records/job_codec.cpp
+++ b/lib/libfleet/source/records/job_codec.cpp
@@ -85,7 +85,10 @@
 task_progress decodeTask(const json& source)
 {
     task_progress task;
-    task.status = static_cast<task_status>(source.at(0).get<int>());
+    const int status = source.at(0).get<int>();
+    if (status < 0 || status > static_cast<int>(task_status::Done))
+        throw std::invalid_argument("unknown status of a task");
+    task.status = static_cast<task_status>(status);
     task.attempt = source.at(1).get<unsigned>();
     task.failures = source.at(2).get<unsigned>();
     task.failedAttempt = source.at(3).get<unsigned>();
--- a/lib/libfleet/source/rpc/convert.cpp
+++ b/lib/libfleet/source/rpc/convert.cpp
@@ -33,6 +33,12 @@
     return worker;
 }
 
+/// An agent of a later version may name other kinds; whatever the kind, the run has ended and is not done.
+run_outcome readOutcome(std::uint8_t how)
+{
+    return how <= static_cast<std::uint8_t>(run_outcome::Lost) ? static_cast<run_outcome>(how) : run_outcome::Lost;
+}
+
 } // namespace
 
 void writeLife(rpc::Life::Builder out, const worker_incarnation& life)
@@ -91,8 +97,7 @@
     }
     for (const auto entry : in.getEnded()) {
         if (auto run = readRun(entry.getRun()))
-            report.ended.push_back({ entry.getNumber(), std::move(*run), static_cast<run_outcome>(entry.getHow()),
-                entry.getCheckpoint().cStr() });
+            report.ended.push_back({ entry.getNumber(), std::move(*run), readOutcome(entry.getHow()), entry.getCheckpoint().cStr() });
     }
     report.responsive = in.getResponsive();
     report.gone = in.getGone();
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -142,10 +142,13 @@
     const auto id = job->id;
     job_progress progress;
     if (const auto recorded = m_progress.records().find(record_keys::progress + id); recorded != m_progress.records().end()) {
-        if (auto decoded = decodeProgress(recorded->second.value))
-            progress = std::move(*decoded);
-        else
+        auto decoded = decodeProgress(recorded->second.value);
+        // What ran of the job is not known, so starting it could run it twice. An operator has to repair the record.
+        if (!decoded || !fitsJob(*decoded, job->spec)) {
             oriole::logEvent(oriole::log_level::Error, "progress_record_unreadable", { { "job", id } });
+            return;
+        }
+        progress = std::move(*decoded);
     }
     const auto now = m_environment.loop.timers().now();
     const auto age = std::clamp(milliseconds(unixMilliseconds() - job->acceptedUnixMs), milliseconds(0), maxJobAge);
--- a/lib/liboriole/source/helpers/timer_service.cpp
+++ b/lib/liboriole/source/helpers/timer_service.cpp
@@ -1,6 +1,9 @@
 #include <oriole/helpers/timer_service.hpp>
 
+#include <oriole/helpers/log.hpp>
+
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace oriole {
@@ -70,7 +73,12 @@
             found->second.due = now + found->second.period;
             enqueue(found->second.due, id);
         }
-        handler(now);
+        // The other timers of the process must not end with this one.
+        try {
+            handler(now);
+        } catch (const std::exception& error) {
+            logEvent(log_level::Error, "timer_handler_failed", { { "error", error.what() } });
+        }
     }
 }
 
--- a/tests/fleet/core_tables_test.cpp
+++ b/tests/fleet/core_tables_test.cpp
@@ -72,3 +72,18 @@
         }
     }));
 }
+
+// Each step was followed along every path, so one job with 40 steps that all depend on the earlier ones held up the scheduler.
+TEST_CASE("the critical path of a job in which every step depends on all earlier ones is found at once", "[core]")
+{
+    job_spec spec;
+    for (unsigned i = 0; i < 60; ++i) {
+        auto next = step(1, 1, 10);
+        for (unsigned earlier = 0; earlier < i; ++earlier)
+            next.after.push_back(earlier);
+        spec.steps.push_back(std::move(next));
+    }
+    CHECK(criticalPath(spec) == milliseconds(600));
+    CHECK(criticalPathFrom(spec, 59) == milliseconds(10));
+    CHECK(criticalPathFrom(spec, 20) == milliseconds(400));
+}
--- a/tests/fleet/fleet_scheduler_test.cpp
+++ b/tests/fleet/fleet_scheduler_test.cpp
@@ -147,3 +147,25 @@
     }
     CHECK(fixture.starts == 1);
 }
+
+// Starting a job anew whose progress is unknown could run it twice.
+TEST_CASE("a job whose recorded progress doesn't fit it is not started, and the others are", "[scheduler][take-over]")
+{
+    takeover_fixture fixture;
+    const auto damaged = job("00000000000000aa", "batch", { step(1, 1) });
+    fixture.store.put(record_keys::jobs + damaged.id, encodeJob(damaged));
+    const auto progress = GENERATE(as<std::string> {}, "", "{", "[]", R"({"state":"running"})",
+        R"({"state":"running","occurrences":[[]]})", R"({"state":"running","occurrences":[[[]]]})",
+        R"({"state":"running","occurrences":[[[[1,1,0,0,"w1","i",1,""],[1,1,0,0,"w1","i",1,""]]]]})",
+        R"({"state":"running","occurrences":[[[[1,1,0,0,"w1","i",1,""]],[[1,1,0,0,"w1","i",1,""]]]]})",
+        R"({"state":"running","occurrences":[[[[7,1,0,0]]]]})", R"({"state":"running","occurrences":[[[[1,1,0,0]]]]})",
+        R"({"state":"running","occurrences":[[[[0,0,0,0]]],[[[0,0,0,0]]]]})", R"({"state":"asleep","occurrences":[]})");
+    fixture.store.put(record_keys::progress + damaged.id, progress);
+    fixture.pass(milliseconds(200));
+    for (unsigned i = 0; i < 30; ++i) {
+        fixture.store.run();
+        fixture.pass(milliseconds(10));
+    }
+    CHECK(fixture.starts == 1);
+    CHECK(fixture.store.records.at(record_keys::progress + damaged.id).value == progress);
+}
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <stdexcept>
 
 using namespace fleet;
 using namespace fleet::test;
@@ -282,3 +283,23 @@
         CHECK(fixture.link->reports.back().gone);
     }
 }
+
+// A heartbeat of another writer can name an address that no client can be made for.
+TEST_CASE("a heartbeat that can't be served changes nothing, and the worker's next one is taken", "[agent]")
+{
+    oriole::timer_service timers { test::start };
+    runtime_record record;
+    worker_agent agent(
+        timers, [&] { return timers.now(); }, {}, [&](const worker_heartbeat& heartbeat) {
+        if (heartbeat.address == "bad")
+            throw std::invalid_argument("not an IPv4 address");
+        return std::make_unique<fake_runtime>(record); });
+    auto heartbeat = agent_fixture::makeHeartbeat();
+    REQUIRE(agent.handleHeartbeat(heartbeat));
+    auto foreign = heartbeat;
+    foreign.worker.incarnation.startedUnixMs += 1000;
+    foreign.address = "bad";
+    CHECK_FALSE(agent.handleHeartbeat(foreign));
+    ++heartbeat.sequence;
+    CHECK(agent.handleHeartbeat(heartbeat));
+}
--- a/tests/unit/event_loop_test.cpp
+++ b/tests/unit/event_loop_test.cpp
@@ -4,6 +4,7 @@
 
 #include <sys/resource.h>
 
+#include <stdexcept>
 #include <vector>
 
 using oriole::event_loop;
@@ -86,3 +87,19 @@
     CHECK(fired >= 10);
     CHECK(fired <= 40);
 }
+
+// The timers of a process are driven by one chain of promises, which ended with the first exception of a handler.
+TEST_CASE("an error in one timer's handler stops neither the other timers nor its own next call", "[event-loop]")
+{
+    event_loop loop;
+    unsigned failed = 0;
+    unsigned fired = 0;
+    loop.timers().subscribeEvery(milliseconds(20), [&](time_point) {
+        ++failed;
+        throw std::runtime_error("test");
+    });
+    loop.timers().subscribeEvery(milliseconds(20), [&](time_point) { ++fired; });
+    pass(loop, milliseconds(200));
+    CHECK(failed >= 3);
+    CHECK(fired >= 3);
+}
