An agent that has left is not taken for the one that has its address now

Cause: member records name addresses and stay after a machine has left. The address may belong to another agent seconds later; a new scheduler attached to it under both names, took its reports for either, and disconnected each in turn. Change: a scheduler names the agent that it looks for when it attaches; another agent turns it away, and the address is forgotten until the agent announces itself. Schedulers of earlier versions name nobody and are served as before.

--- a/lib/libfleet/schema/fleet.capnp
+++ b/lib/libfleet/schema/fleet.capnp
@@ -62,8 +62,9 @@
 }
 
 interface Agent {
-  attach @0 (epoch :UInt64, scheduler :Scheduler) -> ();
-  # From now on the agent rejects orders of lower epochs, and it sends reports to this scheduler.
+  attach @0 (epoch :UInt64, scheduler :Scheduler, agent :Text) -> (otherAgent :Text);
+  # From now on the agent rejects orders of lower epochs, and it sends reports to this scheduler. If `agent` names another
+  # agent, whose address this one has now, nothing changes and `otherAgent` is the name of this one.
 
   start @1 (epoch :UInt64, life :Life, run :Run, text :Text, checkpoint :Text) -> (outcome :StartOutcome, reason :Text);
   stop @2 (epoch :UInt64, life :Life, run :Run) -> (outcome :StopOutcome);
--- a/lib/libfleet/schema/fleet.capnp.h
+++ b/lib/libfleet/schema/fleet.capnp.h
@@ -224,7 +224,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(af49cbdcef88f70b, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(af49cbdcef88f70b, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -239,7 +239,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(881f0199c0a2ad78, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(881f0199c0a2ad78, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1279,6 +1279,9 @@
   inline  ::fleet::rpc::Scheduler::Client getScheduler() const;
 #endif  // !CAPNP_LITE
 
+  inline bool hasAgent() const;
+  inline  ::capnp::Text::Reader getAgent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1319,6 +1322,13 @@
   inline ::capnp::Orphan< ::fleet::rpc::Scheduler> disownScheduler();
 #endif  // !CAPNP_LITE
 
+  inline bool hasAgent();
+  inline  ::capnp::Text::Builder getAgent();
+  inline void setAgent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAgent(unsigned int size);
+  inline void adoptAgent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAgent();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1363,6 +1373,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOtherAgent() const;
+  inline  ::capnp::Text::Reader getOtherAgent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1391,6 +1404,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOtherAgent();
+  inline  ::capnp::Text::Builder getOtherAgent();
+  inline void setOtherAgent( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initOtherAgent(unsigned int size);
+  inline void adoptOtherAgent(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownOtherAgent();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3224,6 +3244,74 @@
 }
 #endif  // !CAPNP_LITE
 
+inline bool Agent::AttachParams::Reader::hasAgent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::AttachParams::Builder::hasAgent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Agent::AttachParams::Reader::getAgent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Agent::AttachParams::Builder::getAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Agent::AttachParams::Builder::setAgent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Agent::AttachParams::Builder::initAgent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Agent::AttachParams::Builder::adoptAgent(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Agent::AttachParams::Builder::disownAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Agent::AttachResults::Reader::hasOtherAgent() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Agent::AttachResults::Builder::hasOtherAgent() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Agent::AttachResults::Reader::getOtherAgent() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Agent::AttachResults::Builder::getOtherAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Agent::AttachResults::Builder::setOtherAgent( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Agent::AttachResults::Builder::initOtherAgent(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Agent::AttachResults::Builder::adoptOtherAgent(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Agent::AttachResults::Builder::disownOtherAgent() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t Agent::StartParams::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/lib/libfleet/source/agent/agent_server.cpp
+++ b/lib/libfleet/source/agent/agent_server.cpp
@@ -73,10 +73,11 @@
 
 class agent_service final : public rpc::Agent::Server {
 public:
-    agent_service(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics)
+    agent_service(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics, std::string name)
         : m_loop(loop)
         , m_agent(agent)
         , m_metrics(metrics)
+        , m_name(std::move(name))
     {
     }
 
@@ -84,6 +85,13 @@
     {
         m_loop.syncTime();
         const auto epoch = context.getParams().getEpoch();
+        const std::string expected = context.getParams().getAgent().cStr();
+        // A scheduler of an earlier version names nobody.
+        if (!expected.empty() && expected != m_name) {
+            oriole::logEvent(oriole::log_level::Warning, "scheduler_looks_for_other_agent", { { "epoch", epoch }, { "agent", expected } });
+            context.getResults().setOtherAgent(m_name);
+            return kj::READY_NOW;
+        }
         auto link = std::make_shared<rpc_scheduler_link>(m_loop, context.getParams().getScheduler());
         const bool accepted = m_agent.attach(epoch, std::move(link));
         oriole::logEvent(oriole::log_level::Info, "scheduler_attached", { { "epoch", epoch }, { "accepted", accepted } });
@@ -143,22 +151,24 @@
     oriole::event_loop& m_loop;
     worker_agent& m_agent;
     oriole::metrics_registry& m_metrics;
+    std::string m_name;
 };
 
 } // namespace
 
 struct agent_server::state {
-    state(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics, const std::string& address)
-        : listener(loop, address, kj::heap<agent_service>(loop, agent, metrics))
+    state(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics, const std::string& name,
+        const std::string& address)
+        : listener(loop, address, kj::heap<agent_service>(loop, agent, metrics, name))
     {
     }
 
     rpc_listener listener;
 };
 
-agent_server::agent_server(
-    oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics, const std::string& address)
-    : m_state(std::make_unique<state>(loop, agent, metrics, address))
+agent_server::agent_server(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics,
+    const std::string& name, const std::string& address)
+    : m_state(std::make_unique<state>(loop, agent, metrics, name, address))
 {
 }
 
--- a/lib/libfleet/source/scheduler/agent_directory.cpp
+++ b/lib/libfleet/source/scheduler/agent_directory.cpp
@@ -37,7 +37,6 @@
     kj::Own<kj::AsyncIoStream> stream;
     capnp::TwoPartyClient client;
     rpc::Agent::Client agent;
-    bool attached = false;
 };
 
 namespace {
@@ -150,12 +149,24 @@
 {
     auto request = connection->agent.attachRequest();
     request.setEpoch(m_epoch);
+    request.setAgent(agent);
     request.setScheduler(kj::heap<report_service>(m_handlers.isEpochValid,
         [this, agent, weak = std::weak_ptr(connection), alive = m_alive](const worker_report& report) {
             if (const auto held = weak.lock(); *alive && held != nullptr)
                 reported(agent, held, report);
         }));
-    auto attached = request.send().ignoreResult().then([connection] { connection->attached = true; },
+    auto attached = request.send().then(
+        [this, agent, connection, alive = m_alive](capnp::Response<rpc::Agent::AttachResults> answer) {
+            const std::string other = answer.getOtherAgent().cStr();
+            if (!*alive || other.empty())
+                return;
+            // The machine has left and its address belongs to another one; the agent is found again when it announces itself.
+            oriole::logEvent(oriole::log_level::Warning, "agent_address_reused",
+                { { "agent", agent }, { "address", m_agents[agent].address }, { "other_agent", other } });
+            if (m_agents[agent].connection == connection)
+                forget(agent);
+            disconnected(agent, connection, "another agent has its address");
+        },
         [this, agent, connection, alive = m_alive](kj::Exception&& error) {
             if (*alive)
                 disconnected(agent, connection, error.getDescription().cStr());
--- a/main/oriolefleetd/source/agent_process.cpp
+++ b/main/oriolefleetd/source/agent_process.cpp
@@ -32,7 +32,7 @@
         , m_agent(m_loop.timers(), bootClock, agentTiming(settings),
               [this](const fleet::worker_heartbeat& worker) { return std::make_unique<platform::runtime_adapter>(m_loop, worker); })
         , m_heartbeats(m_loop, settings.heartbeatAddress, m_agent)
-        , m_server(m_loop, m_agent, m_metrics, settings.rpcAddress)
+        , m_server(m_loop, m_agent, m_metrics, settings.name, settings.rpcAddress)
         , m_entries(m_loop, settings.rpcAddress)
         , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { m_entries.add(changed.seeds); })
         , m_metricsListener(openMetrics(m_loop, m_metrics, settings, options))
--- a/tests/fleet/fleet_scheduler_test.cpp
+++ b/tests/fleet/fleet_scheduler_test.cpp
@@ -80,7 +80,7 @@
     milliseconds sinceConfirmed { 0 }; ///< Time since the store last confirmed the scheduler's epoch.
     worker_agent agent { loop.timers(), [this] { return loop.timers().now(); }, {},
         [this](const worker_heartbeat&) { return std::make_unique<idle_worker>(loop, starts); } };
-    agent_server server { loop, agent, metrics, agentAddress };
+    agent_server server { loop, agent, metrics, "w1", agentAddress };
     fleet_scheduler scheduler { makeEnvironment(*this), epoch, {} };
 };
 
@@ -169,3 +169,32 @@
     CHECK(fixture.starts == 1);
     CHECK(fixture.store.records.at(record_keys::progress + damaged.id).value == progress);
 }
+
+// The address of a machine that has left may belong to another one seconds later. Its record still names the address, so a new
+// scheduler took the other machine for both; what was recorded for the one that left was then lost and found in turn.
+TEST_CASE("an agent that has left is not taken for the one that has its address now", "[scheduler][members]")
+{
+    oriole::event_loop loop;
+    oriole::metrics_registry metrics;
+    unsigned starts = 0;
+    worker_agent agent(
+        loop.timers(), [&] { return loop.timers().now(); }, {},
+        [&](const worker_heartbeat&) { return std::make_unique<idle_worker>(loop, starts); });
+    agent_server server(loop, agent, metrics, "here", agentAddress);
+    agent.handleHeartbeat({ workerReport("r1").worker, "127.0.0.1:1", 1 });
+    loop.after(milliseconds(20)).wait(loop.io().waitScope);
+
+    std::map<std::string, unsigned> reports;
+    agent_directory directory(loop, epoch, {},
+        { [&](const std::string& name, const worker_report&) { ++reports[name]; }, [](const std::string&) {},
+            [](const std::string&) {}, [] { return true; } });
+    directory.announce("here", agentAddress);
+    directory.announce("left", agentAddress);
+    for (unsigned i = 0; i < 30; ++i) {
+        loop.after(milliseconds(50)).wait(loop.io().waitScope);
+        directory.check(loop.timers().now());
+    }
+    CHECK(reports["here"] >= 1);
+    CHECK(reports["left"] == 0);
+    CHECK(directory.connected() == 1);
+}
