--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 	@build/bin/routing_measure
 	@build/bin/capacity_measure
 	@build/bin/policy_measure
+	@build/bin/fleet_core_measure
 	@build/bin/outage
 
 soak: build
