--- a/lib/libfleet/source/core/placement.cpp
+++ b/lib/libfleet/source/core/placement.cpp
@@ -44,7 +44,7 @@
             entry.taskCount = live->second;
         if (request.excludeSuspects && entry.suspect)
             continue;
-        found.push_back(std::move(entry));
+        found.push_back(entry);
     }
     return found;
 }
--- a/measure/fleet_core_measure.cpp
+++ b/measure/fleet_core_measure.cpp
@@ -29,6 +29,7 @@
     for (const auto& [name, queue] : outcome.queues)
         std::printf("  %s %u/%u/%u", name.c_str(), queue.inTime, queue.late, queue.jobs);
     std::printf("\n");
+    std::fflush(stdout);
 }
 
 } // namespace
