Expected releases are worked out once a decision and shared

Cause: each waiting urgent unit and each collection went over all runs, and for members of gangs over the whole gang again. Change: the expected releases of all runs are collected once and kept until a run is stopped.

--- a/lib/libfleet/include/fleet/core/eviction.hpp
+++ b/lib/libfleet/include/fleet/core/eviction.hpp
@@ -66,6 +66,17 @@
 /// @brief Time until the run is expected to free its resources. The members of a gang free theirs together.
 milliseconds releaseTimeOf(const tables& state, const live_run& run);
 
+/// @brief When a run is expected to free its resources.
+struct expected_release {
+    std::size_t slot = 0; ///< Of the run's worker.
+    resources need;
+    bool isStopped = false; ///< It was stopped, so its resources are expected at once.
+    milliseconds time { 0 };
+};
+
+/// @brief Expected releases of all runs that are active, or stopped with an end that is not overdue.
+std::vector<expected_release> collectReleases(const tables& state, time_point now);
+
 /// @brief Remaining time of a run by its measured rate; by its estimated run time while the rate is unknown.
 milliseconds remainingTimeOf(const live_run& run);
 
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -135,8 +135,8 @@
     bool placeUnit(const pending_unit& entry, time_point now);
     [[nodiscard]] static bool isLastAttempt(const job_row& job, const unit_id& unit);
     void startUnit(const job_row& job, const unit_id& unit, const std::vector<std::string>& workers, time_point now);
-    [[nodiscard]] std::optional<std::vector<std::string>> findExpectedPlaces(
-        placement_request request, milliseconds within) const;
+    std::optional<std::vector<std::string>> findExpectedPlaces(placement_request request, milliseconds within);
+    const std::vector<expected_release>& expectedReleases();
     void collectFor(const placement_request& request, milliseconds slack);
     void releaseCollections();
     void reserve(const unit_id& unit, const std::vector<std::string>& workers, const resources& need, time_point until);
@@ -154,6 +154,7 @@
     core_settings m_settings;
     tables m_state;
     time_point m_decidedAt;
+    std::optional<std::vector<expected_release>> m_releases; ///< Of the present decision, until a run is stopped.
     std::vector<reservation> m_collections; ///< Room that the present decision keeps for waiting gangs below priority 0.
     std::map<reclaim_right, std::optional<eviction_candidates>> m_evictionCandidates; ///< Of the present decision.
     std::map<unit_id, time_point> m_reservationTriedAt; ///< When a reservation or eviction for a unit last failed.
--- a/lib/libfleet/source/core/eviction.cpp
+++ b/lib/libfleet/source/core/eviction.cpp
@@ -220,6 +220,26 @@
     return longest;
 }
 
+std::vector<expected_release> collectReleases(const tables& state, time_point now)
+{
+    std::vector<expected_release> releases;
+    const live_run* previous = nullptr;
+    milliseconds time { 0 };
+    for (const auto& [id, run] : state.runs) {
+        // The members of a gang follow one another and free their resources together.
+        const bool sharesTime = previous != nullptr && run.job != nullptr && run.job->job.spec.steps[id.task.step].gang
+            && isSameStep(previous->id.task, id.task);
+        if (!sharesTime)
+            time = releaseTimeOf(state, run);
+        previous = &run;
+        if (isStopExpected(run, now))
+            releases.push_back({ run.host->slot, run.need, true, time });
+        else if (run.phase == run_phase::Active)
+            releases.push_back({ run.host->slot, run.need, false, time });
+    }
+    return releases;
+}
+
 milliseconds remainingTimeOf(const live_run& run)
 {
     const double left = std::max(0.0, 100 - run.percent) / 100;
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -48,6 +48,7 @@
     run.phase = run_phase::Stopping;
     run.stoppedAt = now;
     m_evictionCandidates.clear();
+    m_releases.reset();
     m_effects.emplace_back(
         stop_effect { run.id, run.worker, reason, run.percent, run.ratePercent, lostWorkOf(run, now) });
 }
--- a/lib/libfleet/source/core/unit_placement.cpp
+++ b/lib/libfleet/source/core/unit_placement.cpp
@@ -118,6 +118,7 @@
     std::erase_if(m_lastDeferrals, [this](const auto& entry) { return isFinal(m_state.jobs.at(entry.first.job).progress.state); });
     m_state.guaranteedJobs = findGuaranteedJobs(m_state);
     m_evictionCandidates.clear();
+    m_releases.reset();
     for (auto& entry : collectPending(now))
         placeStep(entry, now);
     releaseCollections();
@@ -209,16 +210,23 @@
     m_collections.clear();
 }
 
-std::optional<std::vector<std::string>> scheduler_core::findExpectedPlaces(placement_request request, milliseconds within) const
+std::optional<std::vector<std::string>> scheduler_core::findExpectedPlaces(placement_request request, milliseconds within)
 {
     request.expectedFree.resize(m_state.workers.size());
-    for (const auto& [id, run] : m_state.runs) {
-        if (isStopExpected(run, m_decidedAt) || (run.phase == run_phase::Active && releaseTimeOf(m_state, run) <= within))
-            request.expectedFree[run.host->slot] += run.need;
+    for (const auto& release : expectedReleases()) {
+        if (release.isStopped || release.time <= within)
+            request.expectedFree[release.slot] += release.need;
     }
     return findPlaces(m_state, request, m_decidedAt);
 }
 
+const std::vector<expected_release>& scheduler_core::expectedReleases()
+{
+    if (!m_releases)
+        m_releases = collectReleases(m_state, m_decidedAt);
+    return *m_releases;
+}
+
 void scheduler_core::reserve(
     const unit_id& unit, const std::vector<std::string>& workers, const resources& need, time_point until)
 {
