--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -126,7 +126,7 @@
     void stopRunsOfEndedJobs(time_point now);
     void stopBrokenGangs(time_point now);
     void orderRestoredRuns(time_point now);
-    void orderRestoredUnit(live_run& run, time_point now);
+    void orderRestoredRun(live_run& run, time_point now);
     [[nodiscard]] bool mayStartRestored(const live_run& run, time_point now) const;
     void stopRunsOnDrainingWorkers(time_point now);
     void stopStragglers(time_point now);
--- a/lib/libfleet/source/core/restored_runs.cpp
+++ b/lib/libfleet/source/core/restored_runs.cpp
@@ -17,11 +17,11 @@
 {
     for (auto& [id, run] : m_state.runs) {
         if (run.restored == restore_state::Absent && run.phase == run_phase::Placed)
-            orderRestoredUnit(run, now);
+            orderRestoredRun(run, now);
     }
 }
 
-void scheduler_core::orderRestoredUnit(live_run& run, time_point now)
+void scheduler_core::orderRestoredRun(live_run& run, time_point now)
 {
     if (!mayStartRestored(run, now))
         return stop(run, "not at its worker", now);
