--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -237,6 +237,29 @@
         return twice;
     }
 
+    // Starts after a run of the same task had ended `done`, where that end was taken note of.
+    unsigned startsAfterDone()
+    {
+        unsigned found = 0;
+        const auto all = runs();
+        std::map<std::string, const run_record*> done;
+        for (const auto& run : all) {
+            auto& first = done[run.task];
+            if (run.how == "done" && run.noted && (first == nullptr || run.endedAt < first->endedAt))
+                first = &run;
+        }
+        for (const auto& run : all) {
+            const auto ended = done.find(run.task);
+            if (ended->second == nullptr || ended->second == &run || run.startedAt <= ended->second->endedAt)
+                continue;
+            if (++found <= 5)
+                log(run.task + " was started again as attempt " + std::to_string(run.attempt) + " on " + run.minion + ", "
+                    + std::to_string(run.startedAt - ended->second->endedAt) + " s after attempt " + std::to_string(ended->second->attempt)
+                    + " had ended done on " + ended->second->minion);
+        }
+        return found;
+    }
+
     minion& worker(const std::string& name)
     {
         for (const auto& entry : m_minions) {
--- a/review/standins/http.hpp
+++ b/review/standins/http.hpp
@@ -137,7 +137,7 @@
         const int on = 1;
         ::setsockopt(m_fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
         auto at = parseAddress(address);
-        if (::bind(m_fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || ::listen(m_fd, 128) != 0)
+        if (::bind(m_fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || ::listen(m_fd, 1024) != 0)
             throw std::runtime_error("can't listen on " + address);
         std::thread([this] { accept(); }).detach();
     }
--- a/review/standins/minion.hpp
+++ b/review/standins/minion.hpp
@@ -15,6 +15,7 @@
     double startedAt = 0; // seconds since the start of the case
     double endedAt = -1;
     std::string how;
+    bool noted = false; // its end was taken note of: lastSeen has reached it, and the lease did not lapse between the two
 };
 
 struct minion_settings {
@@ -116,6 +117,8 @@
         std::string task;
         unsigned attempt = 0;
         std::string how;
+        std::size_t record = 0;
+        bool lapsed = false; // the minion's lease has lapsed since
     };
 
     static std::int64_t unixMs()
@@ -189,6 +192,8 @@
             if (const auto deadline = body.find("deadlineMs"); deadline != body.end())
                 extend(deadline->get<std::int64_t>());
             const auto seen = body.value("lastSeen", std::uint64_t { 0 });
+            for (const auto& entry : m_ends)
+                m_history[entry.record].noted = m_history[entry.record].noted || (entry.number <= seen && !entry.lapsed);
             std::erase_if(m_ends, [&](const listed_end& entry) { return entry.number <= seen; });
             const auto until = clock::now() + std::chrono::milliseconds(body.value("waitMs", 0));
             while (m_ends.empty() && clock::now() < until)
@@ -199,8 +204,11 @@
                 active.push_back({ task, run.attempt, "", percent, 0 });
             }
             json finished = json::array();
-            for (const auto& entry : m_ends)
+            for (const auto& entry : m_ends) {
+                if (finished.size() == 500)
+                    break;
                 finished.push_back({ entry.number, entry.task, entry.attempt, entry.how, "" });
+            }
             return { 200, json { { "clockMs", clockMs() }, { "born", m_born }, { "active", active }, { "finished", finished } }.dump() };
         }
         return { 404, "{}" };
@@ -218,7 +226,7 @@
         record.endedAt = m_seconds();
         record.how = how;
         m_highest[run->first] = std::max(m_highest[run->first], run->second.attempt);
-        m_ends.push_back({ ++m_lastEnd, run->first, run->second.attempt, how });
+        m_ends.push_back({ ++m_lastEnd, run->first, run->second.attempt, how, run->second.record });
         m_log("end of " + run->first + " attempt " + std::to_string(run->second.attempt) + " on " + m_settings.name + ": " + how);
         m_active.erase(run);
         m_changed.notify_all();
@@ -230,6 +238,10 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(5));
             const std::lock_guard guard(m_mutex);
             const auto now = clock::now();
+            if (clockMs() > m_leaseEnd) {
+                for (auto& entry : m_ends)
+                    entry.lapsed = true;
+            }
             for (auto entry = m_active.begin(); entry != m_active.end();) {
                 const auto run = entry++;
                 if (clockMs() > m_leaseEnd)
--- a/review/standins/store.hpp
+++ b/review/standins/store.hpp
@@ -111,6 +111,19 @@
         m_disruption = std::move(hook);
     }
 
+    // While the store is down its leases pause: none ends, and they go on with what they had left.
+    void pauseLeases(bool paused)
+    {
+        const std::lock_guard guard(m_mutex);
+        if (paused)
+            m_pausedAt = clock::now();
+        else if (m_pausedAt) {
+            for (auto& [lease, state] : m_leases)
+                state.end += clock::now() - *m_pausedAt;
+            m_pausedAt.reset();
+        }
+    }
+
     // The operator's write.
     std::int64_t put(const std::string& key, const std::string& value)
     {
@@ -277,6 +290,8 @@
     void expire()
     {
         const std::lock_guard guard(m_mutex);
+        if (m_pausedAt)
+            return;
         std::vector<std::int64_t> ended;
         for (const auto& [lease, state] : m_leases) {
             if (state.end <= clock::now())
@@ -293,6 +308,7 @@
     std::map<std::string, item> m_items;
     std::vector<std::pair<std::int64_t, json>> m_history;
     std::map<std::int64_t, lease_state> m_leases;
+    std::optional<clock::time_point> m_pausedAt;
     disruption m_disruption;
     std::vector<std::unique_ptr<http_server>> m_servers;
 };
