--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,5 @@
 // Small tasks end on one minion while there is no leader, more than a list of ends holds; the store is slow meanwhile.
-#include "deployment.hpp"
+#include "../standins/deployment.hpp"
 
 using namespace review;
 
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
 // A heartbeat of a service that no configuration names arrives at the agent of a minion on which a task is at work.
-#include "deployment.hpp"
+#include "../standins/deployment.hpp"
 
 using namespace review;
 
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,6 +1,6 @@
 // A task fails once on each of the three minions that can run it, each time because that minion fails all that it starts for a
 // moment. It has one attempt left, and all minions are sound again.
-#include "deployment.hpp"
+#include "../standins/deployment.hpp"
 
 using namespace review;
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 mkdir -p target/review
 for source in review/*/case.cpp; do
     number=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -Ireview/standins -o "target/review/case-$number" "$source" -pthread
+    g++ -std=c++20 -O1 -Wall -Wextra -o "target/review/case-$number" "$source" -pthread
 done
--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -50,8 +50,11 @@
         if (const char* keep = std::getenv("KEEP_LOGS"))
             std::filesystem::copy(m_folder, keep, std::filesystem::copy_options::recursive | std::filesystem::copy_options::overwrite_existing);
         std::filesystem::remove_all(m_folder);
-        log(code == 0 ? "the rule held" : code == 1 ? "the rule was broken" : "the case could not run");
-        std::cout << (code == 0 ? "held" : code == 1 ? "broken" : "could not run") << std::endl;
+        log(code == 0 ? "the rule held" : code == 1 ? "the rule was broken"
+                                                    : "the case could not run");
+        std::cout << (code == 0 ? "held" : code == 1 ? "broken"
+                                                     : "could not run")
+                  << std::endl;
         std::_Exit(code);
     }
 
@@ -88,7 +91,8 @@
                 settings.kind = m_kindOfLastZone;
             settings.address = ip(name) + ":" + std::to_string(m_port + 5);
             settings.agent = ip(name) + ":" + std::to_string(m_port + 2);
-            m_minions.push_back(std::make_unique<minion>(settings, [this] { return seconds(); }, [this](const std::string& line) { log(line); }, work));
+            m_minions.push_back(std::make_unique<minion>(
+                settings, [this] { return seconds(); }, [this](const std::string& line) { log(line); }, work));
         }
         for (const auto& [name, role] : m_roles)
             run(name);
@@ -136,7 +140,10 @@
     void signal(const std::string& name, int number)
     {
         ::kill(m_processes.at(name), number);
-        log("process " + name + " gets " + (number == SIGKILL ? "SIGKILL" : number == SIGSTOP ? "SIGSTOP" : number == SIGCONT ? "SIGCONT" : number == SIGTERM ? "SIGTERM" : "a signal"));
+        log("process " + name + " gets " + (number == SIGKILL ? "SIGKILL" : number == SIGSTOP ? "SIGSTOP"
+                    : number == SIGCONT                                                       ? "SIGCONT"
+                    : number == SIGTERM                                                       ? "SIGTERM"
+                                                                                              : "a signal"));
         if (number == SIGKILL) {
             ::waitpid(m_processes.at(name), nullptr, 0);
             m_processes.erase(name);
@@ -181,7 +188,7 @@
 
     response client(const std::string& entry, const std::string& method, const std::string& path, const std::string& body = {}, int timeoutMs = 3000)
     {
-        const auto answer = call(ip(entry) + ":" + std::to_string(m_port + 1), method, path, { { "Host", host() }, { "X-Key", key() } }, body, timeoutMs);
+        auto answer = call(ip(entry) + ":" + std::to_string(m_port + 1), method, path, { { "Host", host() }, { "X-Key", key() } }, body, timeoutMs);
         log(method + " " + path + " at " + entry + ": " + std::to_string(answer.status) + " " + answer.body);
         return answer;
     }
@@ -209,7 +216,7 @@
     response heartbeat(const std::string& agent, const std::string& id, const json& body)
     {
         const auto at = ip(agent) + ":" + std::to_string(m_port + 2);
-        const auto answer = call(at, "PUT", "/api/instances/" + id, { { "Host", at } }, body.dump(), 1000);
+        auto answer = call(at, "PUT", "/api/instances/" + id, { { "Host", at } }, body.dump(), 1000);
         log("heartbeat at " + agent + " of " + id + " " + body.dump() + ": " + std::to_string(answer.status));
         return answer;
     }
@@ -301,7 +308,7 @@
 
     std::string addNode(const std::string& role, int number, int zone)
     {
-        const auto name = role + "-" + std::to_string(number);
+        auto name = role + "-" + std::to_string(number);
         m_numbers[name] = static_cast<int>(m_numbers.size()) + 10;
         m_roles[name] = role;
         const auto at = [&](int offset) { return ip(name) + ":" + std::to_string(m_port + offset); };
@@ -321,9 +328,7 @@
             { "portRange", { m_port + 6, m_port + 7 } }, { "seedNodes", seeds }, { "bootstrap", true }, { "failureCounted", false },
             { "limits", { { "cpuQuota", isEntry ? 0.25 : 0.15 }, { "cpuCores", 1 }, { "memoryMb", isEntry ? 260 : 128 }, { "maxFds", 4100 } } },
             { "dataDir", nullptr }, { "discovery", "local" }, { "entryMode", "vip" }, { "heartbeatMs", 1500 },
-            { "bounds", { { "contactMs", 3000 }, { "ackTimeoutMs", 4000 }, { "drainMs", 2500 }, { "graceS", 6 }, { "configApplyMs", 2500 },
-                            { "revokeMs", 5000 }, { "holdMaxMs", 6000 }, { "killGraceMs", 200 }, { "gangTimeoutMs", 3000 }, { "cancel_ms", 3000 },
-                            { "visible_ms", 3000 }, { "spreadFactor", 3 }, { "leaseMs", 3000 } } },
+            { "bounds", { { "contactMs", 3000 }, { "ackTimeoutMs", 4000 }, { "drainMs", 2500 }, { "graceS", 6 }, { "configApplyMs", 2500 }, { "revokeMs", 5000 }, { "holdMaxMs", 6000 }, { "killGraceMs", 200 }, { "gangTimeoutMs", 3000 }, { "cancel_ms", 3000 }, { "visible_ms", 3000 }, { "spreadFactor", 3 }, { "leaseMs", 3000 } } },
             { "commands", "invocation" }, { "platform", { { "address", at(8) }, { "form", "kv" }, { "writesPerS", 400 }, { "readsPerS", 2000 } } } };
         std::ofstream(m_folder + "/" + name + ".json") << settings.dump();
         return name;
--- a/review/standins/http.hpp
+++ b/review/standins/http.hpp
@@ -196,7 +196,7 @@
     }
     std::string text = method + " " + target + " HTTP/1.1\r\n";
     for (const auto& [name, value] : headers)
-        text += name + ": " + value + "\r\n";
+        text.append(name).append(": ").append(value).append("\r\n");
     if (method != "GET" && method != "DELETE")
         text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n";
