--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <fleet/agent/backend_runtime.hpp>
+#include <fleet/agent/incarnation_check.hpp>
+#include <fleet/agent/worker_heartbeat.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -15,13 +17,6 @@
 
 using oriole::time_point;
 
-/// @brief Contents of a worker's heartbeat.
-struct worker_heartbeat {
-    worker_description worker;
-    std::string address; ///< IP:PORT of the worker's runtime API.
-    std::uint64_t sequence = 0; ///< Increases within one incarnation of the worker; identifies late heartbeats.
-};
-
 struct agent_timing {
     /// How long the lease may be extended, counted from the sending of the last report that the scheduler confirmed.
     milliseconds permission { 4000 };
@@ -53,7 +48,7 @@
 /// to the scheduler.
 class worker_agent {
 public:
-    using runtime_factory = std::function<std::unique_ptr<backend_runtime>(const worker_heartbeat&)>;
+    using runtime_factory = incarnation_check::runtime_factory;
     /// @brief Monotonic clock that also advances while the machine is suspended.
     using clock = std::function<time_point()>;
 
@@ -62,7 +57,9 @@
     worker_agent(const worker_agent&) = delete;
     worker_agent& operator=(const worker_agent&) = delete;
 
-    /// @return False if the heartbeat is out of order or belongs to an earlier incarnation of the worker.
+    /// @brief Updates the worker's description. An incarnation that the heartbeat names for the first time takes the place of
+    /// the present one once the worker has confirmed it and the present one has ended.
+    /// @return False if the heartbeat is out of order, names an earlier incarnation or contradicts the present one.
     bool handleHeartbeat(const worker_heartbeat& heartbeat);
 
     /// @brief Handles the worker's deregistration before its shutdown: no more runs are started on it.
@@ -83,6 +80,11 @@
     struct stop_request;
 
     [[nodiscard]] bool isPermitted() const { return m_clock() < m_permittedUntil; }
+    bool updateWorker(const worker_heartbeat& heartbeat);
+    bool handleContradiction(const worker_heartbeat& heartbeat);
+    void handleConfirmed(
+        const worker_heartbeat& heartbeat, const std::shared_ptr<backend_runtime>& runtime, const poll_response& answer);
+    [[nodiscard]] bool hasEnded(const worker_heartbeat& successor) const;
     void poll(milliseconds wait);
     void handlePoll(const result<poll_response>& answer);
     void schedulePoll(milliseconds delay);
@@ -95,9 +97,11 @@
     oriole::timer_service& m_timers;
     clock m_clock;
     agent_timing m_timing;
-    runtime_factory m_makeRuntime;
-    std::shared_ptr<backend_runtime> m_runtime;
-    worker_heartbeat m_worker;
+    incarnation_check m_check;
+    std::shared_ptr<backend_runtime> m_runtime; ///< Null until an incarnation of the worker is confirmed.
+    worker_heartbeat m_worker; ///< Of the confirmed incarnation.
+    worker_heartbeat m_contradiction; ///< The last heartbeat of this incarnation that describes it differently.
+    unsigned m_contradictions = 0; ///< How often in a row it was described like that.
     std::shared_ptr<scheduler_link> m_link;
     std::uint64_t m_epoch = 0;
     time_point m_permittedUntil;
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds stopRetryDelay { 120 };
 constexpr milliseconds stopTimeout { 3000 };
 constexpr unsigned maxFailedPolls = 2;
+// Another writer may describe the worker's incarnation differently. Whichever description comes this often in a row is taken.
+constexpr unsigned contradictionsToAdopt = 3;
 
 bool listsRun(const poll_response& answer, const run_id& run)
 {
@@ -81,7 +83,10 @@
     : m_timers(timers)
     , m_clock(std::move(now))
     , m_timing(timing)
-    , m_makeRuntime(std::move(makeRuntime))
+    , m_check(std::move(makeRuntime),
+          [this](const worker_heartbeat& heartbeat, const std::shared_ptr<backend_runtime>& runtime, const poll_response& answer) {
+              handleConfirmed(heartbeat, runtime, answer);
+          })
     , m_leaseEndsAt(m_clock() + m_timing.maxLeaseDuration())
 {
 }
@@ -93,52 +98,89 @@
 
 bool worker_agent::handleHeartbeat(const worker_heartbeat& heartbeat)
 {
-    const auto& life = heartbeat.worker.incarnation;
-    const auto& known = m_worker.worker.incarnation;
     if (m_runtime != nullptr) {
-        if (life.startedUnixMs < known.startedUnixMs)
-            return false;
-        if (life == known && heartbeat.sequence < m_worker.sequence)
+        if (heartbeat.worker.incarnation.startedUnixMs < m_worker.worker.incarnation.startedUnixMs)
             return false;
+        if (isSameRegistration(heartbeat, m_worker))
+            return updateWorker(heartbeat);
+        if (isSameIncarnation(heartbeat, m_worker))
+            return handleContradiction(heartbeat);
     }
-    const bool newIncarnation = m_runtime == nullptr || life != known || heartbeat.address != m_worker.address;
-    const bool wasDraining = !newIncarnation && m_worker.worker.draining;
-    std::shared_ptr<backend_runtime> runtime;
-    if (newIncarnation) {
-        try {
-            runtime = m_makeRuntime(heartbeat);
-        } catch (const std::exception& error) {
-            oriole::logEvent(oriole::log_level::Warning, "heartbeat_unusable",
-                { { "instance", life.instance }, { "address", heartbeat.address }, { "error", error.what() } });
-            return false;
-        }
-    }
+    return m_check.propose(heartbeat, m_epoch);
+}
+
+bool worker_agent::updateWorker(const worker_heartbeat& heartbeat)
+{
+    m_contradictions = 0;
+    if (heartbeat.sequence < m_worker.sequence)
+        return false;
+    const bool startsToDrain = heartbeat.worker.draining && !m_worker.worker.draining;
     m_worker = heartbeat;
     m_report.worker = heartbeat.worker;
-    if (newIncarnation) {
-        oriole::logEvent(oriole::log_level::Info, "worker_registered",
-            { { "instance", life.instance }, { "born_unix_ms", life.startedUnixMs }, { "address", heartbeat.address },
-                { "accelerators", heartbeat.worker.capacity.accelerators } });
-        m_runtime = std::move(runtime);
-        m_acknowledgedUpTo = 0;
-        m_report.active.clear();
-        m_report.ended.clear();
-        m_report.responsive = false;
-        m_report.gone = false;
-        m_failedPolls = 0;
-        ++m_pollNumber;
-        m_polling = false;
-        poll(milliseconds(0));
-    } else if (heartbeat.worker.draining && !wasDraining) {
+    if (startsToDrain) {
         oriole::logEvent(oriole::log_level::Info, "worker_draining", { { "remaining_ms", heartbeat.worker.drainRemainingMs } });
         sendReport();
     }
     return true;
 }
 
+bool worker_agent::handleContradiction(const worker_heartbeat& heartbeat)
+{
+    if (!isSameRegistration(heartbeat, m_contradiction) || heartbeat.sequence < m_contradiction.sequence)
+        m_contradictions = 0;
+    m_contradiction = heartbeat;
+    ++m_contradictions;
+    oriole::logEvent(oriole::log_level::Warning, "heartbeat_contradicts_incarnation",
+        { { "instance", heartbeat.worker.incarnation.instance }, { "service", heartbeat.worker.service },
+            { "known_service", m_worker.worker.service }, { "times", m_contradictions } });
+    if (m_contradictions < contradictionsToAdopt)
+        return false;
+    m_contradictions = 0;
+    m_worker = heartbeat;
+    m_report.worker = heartbeat.worker;
+    sendReport();
+    return true;
+}
+
+/// The scheduler takes a report on another incarnation as proof that all runs of this one have ended.
+bool worker_agent::hasEnded(const worker_heartbeat& successor) const
+{
+    return successor.address == m_worker.address || m_report.gone || m_clock() > m_leaseEndsAt;
+}
+
+void worker_agent::handleConfirmed(
+    const worker_heartbeat& heartbeat, const std::shared_ptr<backend_runtime>& runtime, const poll_response& answer)
+{
+    const auto& life = heartbeat.worker.incarnation;
+    if (m_runtime != nullptr && !hasEnded(heartbeat)) {
+        // Its next heartbeat proposes it again.
+        oriole::logEvent(oriole::log_level::Warning, "incarnation_waits",
+            { { "instance", life.instance }, { "address", heartbeat.address },
+                { "present_instance", m_worker.worker.incarnation.instance }, { "present_address", m_worker.address } });
+        return;
+    }
+    oriole::logEvent(oriole::log_level::Info, "worker_registered",
+        { { "instance", life.instance }, { "born_unix_ms", life.startedUnixMs }, { "address", heartbeat.address },
+            { "accelerators", heartbeat.worker.capacity.accelerators } });
+    m_runtime = runtime;
+    m_worker = heartbeat;
+    m_contradictions = 0;
+    m_acknowledgedUpTo = 0;
+    m_workerClockMs = answer.clockMs;
+    m_workerClockReadAt = m_clock();
+    m_report = {};
+    m_report.worker = heartbeat.worker;
+    m_report.responsive = false;
+    m_failedPolls = 0;
+    ++m_pollNumber;
+    m_polling = false;
+    poll(milliseconds(0));
+}
+
 void worker_agent::handleDeregistration(const std::string& instance)
 {
-    if (m_worker.worker.incarnation.instance != instance)
+    m_check.withdraw(instance);
+    if (m_runtime == nullptr || m_worker.worker.incarnation.instance != instance)
         return;
     m_worker.worker.draining = true;
     m_report.worker.draining = true;
@@ -157,6 +199,7 @@
     m_polling = false;
     m_reportedAt = {};
     m_report.responsive = false;
+    m_check.probeAll(epoch);
     poll(milliseconds(0));
     return true;
 }
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -64,6 +64,8 @@
     {
         agent.handleHeartbeat(heartbeat);
         agent.attach(5, link);
+        // The first answer confirms the incarnation, the second one lists its runs.
+        answerPoll();
         answerPoll();
     }
 
@@ -251,6 +253,7 @@
     restarted.worker.incarnation.startedUnixMs = 2;
     restarted.sequence = 1;
     CHECK(fixture.agent.handleHeartbeat(restarted));
+    fixture.answerPoll();
     CHECK(fixture.start({}) == start_outcome::Refused);
     std::optional<stop_outcome> outcome;
     fixture.agent.stop(5, fixture.heartbeat.worker.incarnation, fixture.run, [&](stop_outcome reported) { outcome = reported; });
@@ -296,6 +299,7 @@
         return std::make_unique<fake_runtime>(record); });
     auto heartbeat = agent_fixture::makeHeartbeat();
     REQUIRE(agent.handleHeartbeat(heartbeat));
+    record.polls.back().second(poll_response { {}, 1000, {}, {} });
     auto foreign = heartbeat;
     foreign.worker.incarnation.startedUnixMs += 1000;
     foreign.address = "bad";
@@ -303,3 +307,115 @@
     ++heartbeat.sequence;
     CHECK(agent.handleHeartbeat(heartbeat));
 }
+
+// Guards against a second run beside the first: the scheduler counted all runs of a worker as lost once a heartbeat of
+// another writer had named another incarnation.
+TEST_CASE("a heartbeat displaces no incarnation until the worker has confirmed it", "[agent][incarnation]")
+{
+    agent_fixture fixture;
+    fixture.answerPoll({ { fixture.run, {}, 10 } });
+    const auto reportsBefore = fixture.link->reports.size();
+    auto foreign = fixture.heartbeat;
+    foreign.worker.incarnation = { "i-foreign", 1001 };
+    foreign.worker.service = "unknown";
+    foreign.address = "127.0.0.1:2";
+    foreign.sequence = 4;
+    fixture.agent.handleHeartbeat(foreign);
+    const auto probe = fixture.record.polls.back();
+    const auto isPresent = [&] { return fixture.link->reports.back().worker == fixture.heartbeat.worker; };
+    SECTION("nothing listens at its address")
+    {
+        probe.second(oriole::notRun(oriole::failure_kind::NotFound, "connection refused"));
+    }
+    SECTION("another worker listens at its address")
+    {
+        probe.second(oriole::notRun(oriole::failure_kind::NotFound, "another life of the backend server"));
+    }
+    SECTION("the answer gives another start time")
+    {
+        probe.second(poll_response { { {}, 7 }, 1000, {}, {} });
+    }
+    SECTION("its address does not answer") { }
+    SECTION("another address answers for it while the present incarnation still answers")
+    {
+        probe.second(poll_response { { {}, 1001 }, 1000, {}, {} });
+    }
+    CHECK_FALSE(probe.first.deadlineMs);
+    CHECK(probe.first.acknowledgedUpTo == 0);
+    CHECK(fixture.link->reports.size() == reportsBefore);
+    ++fixture.heartbeat.sequence;
+    CHECK(fixture.agent.handleHeartbeat(fixture.heartbeat));
+    CHECK(fixture.start({ accepted }) == start_outcome::Accepted);
+    fixture.agent.handleDeregistration(fixture.heartbeat.worker.incarnation.instance);
+    fixture.heartbeat.worker.draining = true;
+    CHECK(isPresent());
+}
+
+TEST_CASE("a confirmed incarnation takes the place of one that has ended", "[agent][incarnation]")
+{
+    agent_fixture fixture;
+    auto next = fixture.heartbeat;
+    next.worker.incarnation = { "i-next", 1001 };
+    const auto propose = [&] {
+        ++next.sequence;
+        fixture.agent.handleHeartbeat(next);
+        const auto probe = fixture.record.polls.back().second;
+        probe(poll_response { { {}, 1001 }, 5000, {}, {} });
+    };
+    SECTION("at the same address") { propose(); }
+    SECTION("at another address, once the present one is gone")
+    {
+        next.address = "127.0.0.1:2";
+        propose();
+        CHECK(fixture.link->reports.back().worker.incarnation == fixture.heartbeat.worker.incarnation);
+        for (int i = 0; i < 2; ++i) {
+            fixture.advance(300);
+            const auto done = fixture.record.polls.at(fixture.record.polls.size() - (i == 0 ? 2 : 1)).second;
+            done(oriole::notRun(oriole::failure_kind::NotFound, "connection refused"));
+        }
+        REQUIRE(fixture.link->reports.back().gone);
+        propose();
+    }
+    const auto list = fixture.record.polls.back();
+    CHECK(list.first.deadlineMs == 5000 + 6000);
+    list.second(poll_response { { {}, 1001 }, 5001, {}, {} });
+    CHECK(fixture.link->reports.back().worker == next.worker);
+    CHECK(fixture.link->reports.back().responsive);
+}
+
+// Before it is attached, a restarted agent knows no epoch, and a worker that has seen one answers none of its polls.
+TEST_CASE("a restarted agent confirms its worker under the epoch of the scheduler that attaches", "[agent][incarnation]")
+{
+    oriole::timer_service timers { test::start };
+    runtime_record record;
+    worker_agent agent(
+        timers, [&] { return timers.now(); }, {}, [&](const worker_heartbeat&) { return std::make_unique<fake_runtime>(record); });
+    auto link = std::make_shared<fake_link>();
+    agent.handleHeartbeat(agent_fixture::makeHeartbeat());
+    record.polls.back().second(oriole::notRun(oriole::failure_kind::Unavailable, "hold answered 409"));
+    agent.handleDeregistration("");
+    CHECK(agent.attach(5, link));
+    CHECK(link->reports.empty());
+    CHECK(record.polls.back().first.epoch == 5);
+    for (int i = 0; i < 2; ++i) {
+        const auto done = record.polls.back().second;
+        done(poll_response { { {}, 1 }, 1000, {}, {} });
+    }
+    CHECK(link->reports.back().responsive);
+}
+
+TEST_CASE("a heartbeat that describes the present incarnation differently is taken only when it is repeated", "[agent][incarnation]")
+{
+    agent_fixture fixture;
+    auto foreign = fixture.heartbeat;
+    foreign.worker.service = "unknown";
+    foreign.sequence = 900;
+    CHECK_FALSE(fixture.agent.handleHeartbeat(foreign));
+    CHECK_FALSE(fixture.agent.handleHeartbeat(foreign));
+    ++fixture.heartbeat.sequence;
+    CHECK(fixture.agent.handleHeartbeat(fixture.heartbeat));
+    CHECK_FALSE(fixture.agent.handleHeartbeat(foreign));
+    CHECK_FALSE(fixture.agent.handleHeartbeat(foreign));
+    CHECK(fixture.agent.handleHeartbeat(foreign));
+    CHECK(fixture.link->reports.back().worker.service == "unknown");
+}
