--- a/lib/libfleet/include/fleet/agent/backend_runtime.hpp
+++ b/lib/libfleet/include/fleet/agent/backend_runtime.hpp
@@ -43,6 +43,7 @@
     std::int64_t clockMs = 0; ///< Reading of the worker's steady clock.
     std::vector<active_run> active;
     std::vector<ended_run> ended;
+    bool endsTruncated = false; ///< The worker lists the rest once these are acknowledged.
 };
 
 /// @brief Asynchronous client of the runtime; each handler is called exactly once.
--- a/lib/libfleet/include/fleet/model/worker.hpp
+++ b/lib/libfleet/include/fleet/model/worker.hpp
@@ -62,6 +62,7 @@
     worker_description worker;
     std::vector<active_run> active;
     std::vector<ended_run> ended;
+    bool endsTruncated = false; ///< More runs have ended than are listed, so a run that is not listed may have ended.
     bool responsive = true; ///< The worker answered the last poll.
     bool gone = false; ///< It does not answer and whatever ran on it has certainly ended.
 };
--- a/lib/libfleet/schema/fleet.capnp
+++ b/lib/libfleet/schema/fleet.capnp
@@ -42,6 +42,7 @@
   ended @10 :List(Ended);
   responsive @11 :Bool;
   gone @12 :Bool;
+  endsTruncated @13 :Bool; # more runs have ended than are listed
 }
 
 enum StartOutcome {
--- a/lib/libfleet/schema/fleet.capnp.h
+++ b/lib/libfleet/schema/fleet.capnp.h
@@ -859,6 +859,8 @@
 
   inline bool getGone() const;
 
+  inline bool getEndsTruncated() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -951,6 +953,9 @@
   inline bool getGone();
   inline void setGone(bool value);
 
+  inline bool getEndsTruncated();
+  inline void setEndsTruncated(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3104,6 +3109,20 @@
       ::capnp::bounded<194>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Report::Reader::getEndsTruncated() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getEndsTruncated() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setEndsTruncated(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<195>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Scheduler::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -35,6 +35,13 @@
         || std::any_of(answer.ended.begin(), answer.ended.end(), isRun);
 }
 
+stop_outcome stopOutcomeOf(const poll_response& answer, const run_id& run)
+{
+    if (listsRun(answer, run))
+        return stop_outcome::Ending;
+    return answer.endsTruncated ? stop_outcome::Unanswered : stop_outcome::Absent;
+}
+
 bool sameRuns(const std::vector<active_run>& left, const std::vector<active_run>& right)
 {
     return std::equal(left.begin(), left.end(), right.begin(), right.end(),
@@ -250,13 +257,15 @@
         return schedulePoll(failedPollDelay);
     }
 
-    const bool changed = !m_report.responsive || !sameRuns(m_report.active, answer.value().active)
+    const bool changed = !m_report.responsive || m_report.endsTruncated != answer.value().endsTruncated
+        || !sameRuns(m_report.active, answer.value().active)
         || m_report.ended.size() != answer.value().ended.size();
     m_failedPolls = 0;
     m_workerClockMs = answer.value().clockMs;
     m_workerClockReadAt = m_clock();
     m_report.active = answer.value().active;
     m_report.ended = answer.value().ended;
+    m_report.endsTruncated = answer.value().endsTruncated;
     std::erase_if(m_report.ended, [this](const ended_run& entry) { return entry.number <= m_acknowledgedUpTo; });
     m_report.responsive = true;
     m_report.gone = false;
@@ -379,14 +388,19 @@
 
 void worker_agent::completeStops(const poll_response& answer)
 {
-    std::vector<std::shared_ptr<stop_request>> completed;
-    for (const auto& request : m_stops) {
-        if (m_pollNumber >= request->confirmedByPoll)
-            completed.push_back(request);
-    }
-    std::erase_if(m_stops, [this](const auto& request) { return m_pollNumber >= request->confirmedByPoll; });
-    for (const auto& request : completed)
-        request->done(listsRun(answer, request->run) ? stop_outcome::Ending : stop_outcome::Absent);
+    std::vector<std::pair<std::shared_ptr<stop_request>, stop_outcome>> completed;
+    std::erase_if(m_stops, [&](const auto& request) {
+        if (m_pollNumber < request->confirmedByPoll)
+            return false;
+        const auto outcome = stopOutcomeOf(answer, request->run);
+        // Until the list is whole again, the run may be among the ends that it leaves out.
+        if (outcome == stop_outcome::Unanswered && m_clock() - request->startedAt <= stopTimeout)
+            return false;
+        completed.emplace_back(request, outcome);
+        return true;
+    });
+    for (const auto& [request, outcome] : completed)
+        request->done(outcome);
 }
 
 void worker_agent::acknowledge(std::uint64_t epoch, const worker_incarnation& life, std::uint64_t upTo)
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -207,6 +207,9 @@
 
 void scheduler_core::stopMissingRuns(const std::string& worker, const worker_report& report, time_point now)
 {
+    // A run that is not listed may have ended all the same.
+    if (report.endsTruncated)
+        return;
     const auto isListed = [&](const run_id& id) {
         return std::any_of(report.active.begin(), report.active.end(), [&](const auto& active) { return active.run == id; });
     };
--- a/lib/libfleet/source/rpc/convert.cpp
+++ b/lib/libfleet/source/rpc/convert.cpp
@@ -85,6 +85,7 @@
     }
     out.setResponsive(report.responsive);
     out.setGone(report.gone);
+    out.setEndsTruncated(report.endsTruncated);
 }
 
 worker_report readReport(rpc::Report::Reader in)
@@ -101,6 +102,7 @@
     }
     report.responsive = in.getResponsive();
     report.gone = in.getGone();
+    report.endsTruncated = in.getEndsTruncated();
     return report;
 }
 
--- a/tests/fleet/convert_test.cpp
+++ b/tests/fleet/convert_test.cpp
@@ -14,12 +14,14 @@
     report.active.push_back({ { { "0123456789abcdef", 1, 2, 3 }, 4 }, "saved", 12.5, 3 });
     for (int how = 0; how <= static_cast<int>(run_outcome::Lost); ++how)
         report.ended.push_back({ 7, { { "0123456789abcdef", 0, 0, 0 }, 1 }, static_cast<run_outcome>(how), "" });
+    report.endsTruncated = true;
     capnp::MallocMessageBuilder message;
     auto out = message.initRoot<rpc::Report>();
     writeReport(out, report);
     auto read = readReport(out.asReader());
     CHECK(read.active == report.active);
     CHECK(read.ended == report.ended);
+    CHECK(read.endsTruncated);
 
     out.getEnded()[0].setHow(200);
     out.getActive()[0].getRun().setTask("no task");
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -30,6 +30,20 @@
         CHECK(next.decide().empty());
         CHECK(next.core.findJob("a")->progress.state == job_state::Completed);
     }
+    // Guards against a second run of tasks that had ended: a worker lists 500 ends at a time.
+    SECTION("the worker's list of ends is truncated: nothing is known of the run until the list is whole")
+    {
+        auto report = workerReport("r1");
+        report.endsTruncated = true;
+        next.core.applyReport("w1", report, next.now);
+        CHECK(next.decide().empty());
+        next.now += milliseconds(5000);
+        next.core.applyReport("w1", report, next.now);
+        CHECK(next.decide().empty());
+        next.end("w1", workerReport("r1"), { { "a", 0, 0, 0 }, 1 }, run_outcome::Done);
+        CHECK(next.decide().empty());
+        CHECK(next.core.findJob("a")->progress.state == job_state::Completed);
+    }
     SECTION("the run is not reported: its start is ordered again, as the same attempt on the same worker")
     {
         next.core.applyReport("w1", workerReport("r1"), next.now);
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -208,6 +208,30 @@
         fixture.answerPoll({ { fixture.run, {}, 10 } });
         CHECK(outcome == stop_outcome::Ending);
     }
+    SECTION("the poll's list of ends is truncated: the run may be among those left out")
+    {
+        const auto answerTruncated = [&] {
+            const auto done = fixture.record.polls.back().second;
+            poll_response list { {}, 1000, {}, { { 1, { { "other", 0, 0, 0 }, 1 }, run_outcome::Done, {} } } };
+            list.endsTruncated = true;
+            done(list);
+            fixture.advance(100);
+        };
+        answerTruncated();
+        CHECK_FALSE(outcome);
+        CHECK(fixture.link->reports.back().endsTruncated);
+        SECTION("the whole list follows")
+        {
+            fixture.answerPoll({}, { { 501, fixture.run, run_outcome::Done, {} } });
+            CHECK(outcome == stop_outcome::Ending);
+        }
+        SECTION("it does not follow in time")
+        {
+            for (int i = 0; i < 31; ++i)
+                answerTruncated();
+            CHECK(outcome == stop_outcome::Unanswered);
+        }
+    }
     SECTION("the worker does not answer: the stop is sent again")
     {
         std::optional<stop_outcome> second;
