--- a/lib/libfleet/include/fleet/core/placement.hpp
+++ b/lib/libfleet/include/fleet/core/placement.hpp
@@ -18,7 +18,7 @@
     std::string organisation;
     std::map<std::string, unsigned> liveTasksByWorker; ///< Live tasks of the step by worker; only if it has an anti-affinity limit.
     std::set<std::string> avoidedWorkers; ///< Workers on which a run of the job failed or was slow; used only if no other fits.
-    bool excludeSuspects = false; ///< Whether suspect workers and avoidedWorkers are excluded, as for a task's last attempt.
+    bool excludeSuspects = false; ///< Whether suspect workers and avoidedWorkers are excluded, as for a while for a task's last attempt.
     bool remoteAllowed = false; ///< Whether the unit may be placed outside of the rack of its data, and a gang on several racks.
     std::optional<resources> reservedNeed; ///< Resources per task of the unit's own reservation.
     std::vector<std::string> reservedOn; ///< Workers of the unit's own reservation, one entry for each task.
@@ -29,6 +29,9 @@
 /// @return No value when the unit can't be placed as a whole now.
 std::optional<std::vector<std::string>> findPlaces(const tables& state, const placement_request& request, time_point now);
 
+/// @brief Whether the workers that are not suspect could run the unit if nothing else ran on them.
+bool canHealthyWorkersHold(const tables& state, placement_request request, time_point now);
+
 /// @brief Whether the worker could run a task of the unit if nothing else ran on it.
 bool isEligible(const worker_row& worker, const placement_request& request, const tables& state);
 
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -133,6 +133,7 @@
     void placePendingUnits(time_point now);
     void placeStep(pending_unit& entry, time_point now);
     bool placeUnit(const pending_unit& entry, time_point now);
+    [[nodiscard]] bool mayWaitForHealthyWorker(const job_row& job, const placement_request& request, time_point now) const;
     [[nodiscard]] static bool isLastAttempt(const job_row& job, const unit_id& unit);
     void startUnit(const job_row& job, const unit_id& unit, const std::vector<std::string>& workers, time_point now);
     std::optional<std::vector<std::string>> findExpectedPlaces(placement_request request, milliseconds within);
--- a/lib/libfleet/source/core/placement.cpp
+++ b/lib/libfleet/source/core/placement.cpp
@@ -185,6 +185,17 @@
     return pack(candidates, request);
 }
 
+bool canHealthyWorkersHold(const tables& state, placement_request request, time_point now)
+{
+    request.excludeSuspects = true;
+    auto candidates = collectCandidates(state, request, now);
+    for (auto& entry : candidates) {
+        entry.free = entry.row->description.capacity;
+        entry.taskCount = 0;
+    }
+    return haveRoom(candidates, request);
+}
+
 double slowdownOf(const tables& state, const step_spec& step, const std::vector<std::string>& workers, double spreadFactor)
 {
     std::set<std::string_view> racks;
--- a/lib/libfleet/source/core/unit_placement.cpp
+++ b/lib/libfleet/source/core/unit_placement.cpp
@@ -34,6 +34,11 @@
 // Work within a guarantee has to start within 2.7 s of its acceptance, away from its data if necessary.
 constexpr milliseconds maxGuaranteedRemoteDelay { 2000 };
 
+// A last attempt is kept from suspect workers for this long at most. The platform allows a job that could run 3 s with nothing
+// at work; while healthy workers could take it, their room may be worth a wait of a task's run time.
+constexpr milliseconds maxLastAttemptWait { 2000 };
+constexpr milliseconds maxLastAttemptWaitForRoom { 12'000 };
+
 milliseconds remotePlacementDelay(const step_spec& step, bool guaranteed)
 {
     const milliseconds maxWait(step.runTimeMs * remoteDelayRunTimes);
@@ -103,15 +108,24 @@
         if (tasks[i].status == task_status::Live)
             ++request.liveTasksByWorker[tasks[i].worker];
     }
-    request.excludeSuspects = isLastAttempt(job, unit);
     request.remoteAllowed = now - job.readySince > remotePlacementDelay(step, m_state.guaranteedJobs.contains(unit.job));
     if (const auto held = m_state.reservations.find(unit); held != m_state.reservations.end()) {
         request.reservedNeed = held->second.need;
         request.reservedOn = held->second.workers;
     }
+    request.excludeSuspects = isLastAttempt(job, unit) && mayWaitForHealthyWorker(job, request, now);
     return request;
 }
 
+/// Answers jobs that failed on every worker that can run them: without a limit their last attempt would never be made.
+bool scheduler_core::mayWaitForHealthyWorker(const job_row& job, const placement_request& request, time_point now) const
+{
+    const auto waited = now - job.readySince;
+    if (waited < maxLastAttemptWait)
+        return true;
+    return waited < maxLastAttemptWaitForRoom && canHealthyWorkersHold(m_state, request, now);
+}
+
 void scheduler_core::placePendingUnits(time_point now)
 {
     std::erase_if(m_reservationTriedAt, [now](const auto& entry) { return now - entry.second > reservationDuration; });
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -636,3 +636,45 @@
     for (const auto& name : workers)
         CHECK(fixture.core.state().workers.at(name).reserved == resources {});
 }
+
+// Guards against a job that stays unfinished for good: its last attempt was kept from every worker on which it had failed.
+TEST_CASE("a last attempt waits for a healthy worker, but not for good", "[core][last-attempt]")
+{
+    core_fixture fixture;
+    fixture.report("w1", workerReport("r1"));
+    fixture.report("w2", workerReport("r1"));
+    fixture.add(job("a", "batch", { step(1, 8) }));
+    const auto placedWithin = [&](int ms) {
+        for (int passed = 0; passed < ms; passed += 200) {
+            fixture.now += milliseconds(200);
+            if (const auto starts = core_fixture::only<start_effect>(fixture.decide()); !starts.empty())
+                return starts.front().worker;
+        }
+        return std::string();
+    };
+    for (unsigned attempt = 1; attempt < 3; ++attempt) {
+        const auto starts = core_fixture::only<start_effect>(fixture.decide());
+        REQUIRE(starts.size() == 1);
+        fixture.end(starts[0].worker, workerReport("r1"), starts[0].run, run_outcome::Failed);
+    }
+    SECTION("no healthy worker could run it: it starts within the 3 s that the platform allows")
+    {
+        CHECK(placedWithin(1800).empty());
+        CHECK_FALSE(placedWithin(1200).empty());
+    }
+    SECTION("a healthy worker could run it and is busy: the wait for its room is longer, and ends as well")
+    {
+        fixture.report("w3", workerReport("r1"));
+        auto lasting = step(1, 8);
+        lasting.lasting = true;
+        fixture.add(job("b", "urgent", { lasting }));
+        REQUIRE(core_fixture::only<start_effect>(fixture.decide()).at(0).worker == "w3");
+        CHECK(placedWithin(10'000).empty());
+        CHECK_FALSE(placedWithin(4000).empty());
+    }
+    SECTION("a healthy worker becomes free: it is taken")
+    {
+        fixture.report("w3", workerReport("r1"));
+        CHECK(placedWithin(200) == "w3");
+    }
+}
