Soak of oriolefleetd: real processes against stand-ins of the platform, under faults drawn from a seed

--announce-address (ORIOLE_ANNOUNCE_ADDRESS) names the address at which other processes reach one behind a proxy or address translation. A request of the HTTP client can name its host.

--- a/lib/libfleet/include/fleet/entry/entry_peers.hpp
+++ b/lib/libfleet/include/fleet/entry/entry_peers.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,8 +64,8 @@
 /// @brief RPC client of the other entries, with one persistent connection to each.
 class entry_peers {
 public:
-    /// @param ownAddress This entry's own address; it is ignored when it is added as a peer.
-    explicit entry_peers(oriole::event_loop& loop, std::string ownAddress = {});
+    /// @param ownAddresses This process's own addresses; they are ignored when they are added as peers.
+    explicit entry_peers(oriole::event_loop& loop, std::set<std::string> ownAddresses = {});
     ~entry_peers();
     entry_peers(const entry_peers&) = delete;
     entry_peers& operator=(const entry_peers&) = delete;
@@ -89,7 +90,7 @@
     std::shared_ptr<peer> connected(const std::string& address);
 
     oriole::event_loop& m_loop;
-    std::string m_ownAddress;
+    std::set<std::string> m_ownAddresses;
     std::map<std::string, std::shared_ptr<peer>> m_peers;
     std::map<std::string, oriole::time_point> m_failedAt;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/lib/libfleet/include/fleet/http/http_client.hpp
+++ b/lib/libfleet/include/fleet/http/http_client.hpp
@@ -28,6 +28,7 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
     milliseconds deadline { 1000 };
+    std::string host {}; ///< Host header; the server's address if empty.
 };
 
 struct http_response {
--- a/lib/libfleet/source/entry/entry_peers.cpp
+++ b/lib/libfleet/source/entry/entry_peers.cpp
@@ -99,9 +99,9 @@
     std::function<void(relay_outcome)> done;
 };
 
-entry_peers::entry_peers(oriole::event_loop& loop, std::string ownAddress)
+entry_peers::entry_peers(oriole::event_loop& loop, std::set<std::string> ownAddresses)
     : m_loop(loop)
-    , m_ownAddress(std::move(ownAddress))
+    , m_ownAddresses(std::move(ownAddresses))
 {
 }
 
@@ -112,7 +112,7 @@
 
 void entry_peers::add(const std::string& address)
 {
-    if (address != m_ownAddress)
+    if (!m_ownAddresses.contains(address))
         m_peers.try_emplace(address);
 }
 
--- a/lib/libfleet/source/http/http_client.cpp
+++ b/lib/libfleet/source/http/http_client.cpp
@@ -122,7 +122,7 @@
 kj::Promise<http_response> http_client::send(const std::shared_ptr<pool>& connections, const http_request& request)
 {
     kj::HttpHeaders headers(*connections->headerTable);
-    headers.set(kj::HttpHeaderId::HOST, kj::str(m_address));
+    headers.set(kj::HttpHeaderId::HOST, kj::str(request.host.empty() ? m_address : request.host));
     if (!request.body.empty())
         headers.set(kj::HttpHeaderId::CONTENT_TYPE, "application/json");
     for (const auto& [name, value] : request.headers)
--- a/main/oriolefleetd/source/agent_process.cpp
+++ b/main/oriolefleetd/source/agent_process.cpp
@@ -28,12 +28,13 @@
 public:
     agent_process(const platform::node_settings& settings, const process_options& options)
         : m_settings(settings)
+        , m_address(announcedAddress(settings, options))
         , m_store(m_loop, settings.storeAddress)
         , m_agent(m_loop.timers(), bootClock, agentTiming(settings),
               [this](const fleet::worker_heartbeat& worker) { return std::make_unique<platform::runtime_adapter>(m_loop, worker); })
         , m_heartbeats(m_loop, settings.heartbeatAddress, m_agent)
         , m_server(m_loop, m_agent, m_metrics, settings.name, settings.rpcAddress)
-        , m_entries(m_loop, settings.rpcAddress)
+        , m_entries(m_loop, { settings.rpcAddress, m_address })
         , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { m_entries.add(changed.seeds); })
         , m_metricsListener(openMetrics(m_loop, m_metrics, settings, options))
     {
@@ -58,11 +59,11 @@
         if (m_agent.attached())
             return scheduleAnnouncement(announcePeriod);
         fleet::record_transaction announcement;
-        announcement.writes = { { fleet::agentKey(m_settings.name), m_settings.rpcAddress } };
+        announcement.writes = { { fleet::agentKey(m_settings.name), m_address } };
         m_store.commit(std::move(announcement), [this](const oriole::result<fleet::commit_outcome>& outcome) {
             if (!outcome) {
                 // An entry that can reach the store writes the address on the agent's behalf.
-                m_entries.announce(m_settings.name, m_settings.rpcAddress);
+                m_entries.announce(m_settings.name, m_address);
                 oriole::logEvent(oriole::log_level::Warning, "announcement_failed", { { "reason", outcome.error().reason } });
             }
             scheduleAnnouncement(outcome ? announcePeriod : announceRetry);
@@ -75,6 +76,7 @@
     }
 
     const platform::node_settings& m_settings;
+    std::string m_address; ///< At which entries reach this agent.
     oriole::event_loop m_loop;
     oriole::metrics_registry m_metrics;
     platform::store_adapter m_store;
--- a/main/oriolefleetd/source/entry_process.cpp
+++ b/main/oriolefleetd/source/entry_process.cpp
@@ -46,9 +46,9 @@
         , m_store(m_loop, settings.storeAddress)
         , m_control(m_store, m_loop.timers(), bootClock, settings.failureDomains)
         , m_desk(m_store, m_loop.timers())
-        , m_peers(m_loop, settings.rpcAddress)
+        , m_peers(m_loop, { settings.rpcAddress, announcedAddress(settings, options) })
         , m_entry({ m_loop, m_store, m_control, m_metrics, bootClock, m_peers },
-              { settings.name, settings.rpcAddress, settings.cores }, schedulerSettings(settings))
+              { settings.name, announcedAddress(settings, options), settings.cores }, schedulerSettings(settings))
         , m_api({ m_loop, m_desk, m_control, m_peers, m_metrics, bootClock, maxViewAge })
         , m_server(m_loop, *this, settings.rpcAddress)
         , m_callers(m_loop, { settings.callerAddress, { "X-Key" }, 1U << 20U },
--- a/main/oriolefleetd/source/main.cpp
+++ b/main/oriolefleetd/source/main.cpp
@@ -25,6 +25,9 @@
     app.add_option("--metrics-port", options.metricsPort, "Port of GET /metrics, 0 to disable it")
         ->envname("ORIOLE_METRICS_PORT")
         ->capture_default_str();
+    app.add_option("--announce-address", options.announcedAddress,
+           "IP:PORT at which the system's other processes reach this one, if not the address on which it listens")
+        ->envname("ORIOLE_ANNOUNCE_ADDRESS");
     auto* entry = app.add_subcommand("entry", "Serve callers; one of the entries runs the scheduler");
     app.add_subcommand("agent", "Run beside a backend server and control its tasks");
     try {
--- a/main/oriolefleetd/source/process_parts.cpp
+++ b/main/oriolefleetd/source/process_parts.cpp
@@ -20,4 +20,9 @@
     return fleet::serveMetrics(loop, metrics, settings.ip + ":" + std::to_string(options.metricsPort));
 }
 
+std::string announcedAddress(const platform::node_settings& settings, const process_options& options)
+{
+    return options.announcedAddress.empty() ? settings.rpcAddress : options.announcedAddress;
+}
+
 } // namespace fleetd
--- a/main/oriolefleetd/source/process_parts.hpp
+++ b/main/oriolefleetd/source/process_parts.hpp
@@ -22,4 +22,7 @@
 std::unique_ptr<fleet::http_listener> openMetrics(oriole::event_loop& loop, const oriole::metrics_registry& metrics,
     const platform::node_settings& settings, const process_options& options);
 
+/// @brief Address for the system's other processes: the announced one, or else the one on which the process listens.
+std::string announcedAddress(const platform::node_settings& settings, const process_options& options);
+
 } // namespace fleetd
--- /dev/null
+++ b/tests/fleet_soak/fault_script.cpp
@@ -0,0 +1,340 @@
+#include "fault_script.hpp"
+
+#include <algorithm>
+#include <iostream>
+#include <utility>
+
+namespace fleet::soak {
+
+namespace {
+
+using nlohmann::json;
+using oriole::milliseconds;
+using oriole::harness::link_direction;
+using oriole::harness::link_fault;
+
+constexpr milliseconds heartbeatDeadline { 1000 };
+
+} // namespace
+
+fault_script::fault_script(
+    oriole::event_loop& loop, fleet_deployment& deployment, std::uint64_t seed, std::vector<std::string> kinds)
+    : m_loop(loop)
+    , m_deployment(deployment)
+    , m_random(seed + 500)
+    , m_kinds(kinds.empty() ? allKinds() : std::move(kinds))
+{
+    m_faults = { { "kill", [this] { killProcess(); } }, { "freeze", [this] { freezeProcess(); } },
+        { "terminate", [this] { terminateProcess(); } }, { "link", [this] { disturbLink(); } }, { "held-orders", [this] { holdUpOrders(); } },
+        { "crash", [this] { crashWorker(); } }, { "worker", [this] { disturbWorker(); } }, { "store", [this] { disturbStore(); } },
+        { "configuration", [this] { changeConfiguration(); } }, { "evacuation", [this] { evacuate(); } },
+        { "foreign-heartbeat", [this] { sendForeignHeartbeat(); } }, { "delayed-heartbeat", [this] { delayHeartbeat(); } },
+        { "odd-record", [this] { writeOddRecord(); } } };
+}
+
+std::vector<std::string> fault_script::allKinds()
+{
+    return { "kill", "freeze", "terminate", "link", "held-orders", "crash", "worker", "store", "configuration", "evacuation",
+        "foreign-heartbeat", "delayed-heartbeat", "odd-record" };
+}
+
+void fault_script::start(milliseconds period)
+{
+    m_running = true;
+    m_subscription = m_loop.timers().subscribeEvery(period, [this](oriole::time_point) { drawFault(); });
+}
+
+void fault_script::stop()
+{
+    m_running = false;
+    m_loop.timers().cancel(m_subscription);
+    for (const auto& [id, undo] : std::exchange(m_undos, {}))
+        undo();
+    for (auto* list : { &m_deployment.entries(), &m_deployment.agents() }) {
+        for (auto& node : *list)
+            m_deployment.run(node);
+    }
+    log("all faults have ended");
+}
+
+void fault_script::drawFault()
+{
+    const auto& kind = m_kinds[below(static_cast<unsigned>(m_kinds.size()))];
+    ++m_counts[kind];
+    m_faults.at(kind)();
+}
+
+void fault_script::log(const std::string& what)
+{
+    std::cout << m_deployment.seconds() << " " << what << std::endl;
+}
+
+void fault_script::undoLater(int fromMs, int toMs, action undo)
+{
+    const auto id = m_nextUndo++;
+    m_undos[id] = std::move(undo);
+    const milliseconds duration(fromMs + static_cast<int>(below(static_cast<unsigned>(toMs - fromMs + 1))));
+    m_loop.timers().subscribeOnce(duration, [this, id](oriole::time_point) {
+        if (const auto pending = m_undos.extract(id); !pending.empty())
+            pending.mapped()();
+    });
+}
+
+fleet_deployment::node& fault_script::anyNode()
+{
+    auto& list = below(3) == 0 ? m_deployment.entries() : m_deployment.agents();
+    return list[below(static_cast<unsigned>(list.size()))];
+}
+
+fleet_deployment::served_worker& fault_script::anyWorker(std::size_t& index)
+{
+    index = below(static_cast<unsigned>(m_deployment.workers().size()));
+    return m_deployment.workers()[index];
+}
+
+void fault_script::killProcess()
+{
+    // Now and then several at once.
+    for (unsigned count = below(4) == 0 ? 3 : 1; count > 0; --count) {
+        auto& node = anyNode();
+        log("SIGKILL of " + node.name);
+        node.mayEnd = true;
+        node.process->kill();
+        undoLater(0, 3000, [this, &node] { m_deployment.run(node); });
+    }
+}
+
+void fault_script::freezeProcess()
+{
+    auto& node = anyNode();
+    if (!node.process->running())
+        return;
+    log("SIGSTOP of " + node.name);
+    node.process->freeze();
+    undoLater(500, 12'000, [this, &node] {
+        log("SIGCONT of " + node.name);
+        node.process->thaw();
+    });
+}
+
+void fault_script::terminateProcess()
+{
+    auto& node = anyNode();
+    if (!node.process->running())
+        return;
+    log("SIGTERM of " + node.name);
+    node.mayEnd = true;
+    node.process->thaw();
+    node.process->terminate();
+    undoLater(6500, 8000, [this, &node] {
+        node.process->kill();
+        m_deployment.run(node);
+    });
+}
+
+void fault_script::disturbLink()
+{
+    static const std::vector<std::pair<std::string, link_fault>> faults { { "cut", link_fault::Cut }, { "silent", link_fault::Freeze },
+        { "drops all", link_fault::Drop }, { "loses answers", link_fault::LoseReply }, { "half open", link_fault::HalfOpen } };
+    const auto& [what, fault] = faults[below(static_cast<unsigned>(faults.size()))];
+    const auto direction = static_cast<link_direction>(below(3));
+    auto& node = anyNode();
+    const bool toStore = below(2) == 0;
+    auto& link = toStore ? *node.storeLink : *node.rpcLink;
+    log("link " + std::string(toStore ? "to the store of " : "to ") + node.name + " " + what + ", direction "
+        + std::to_string(static_cast<int>(direction)));
+    link.set({ fault, direction });
+    undoLater(500, 12'000, [&link] { link.set(link_fault::None); });
+}
+
+/// Orders that are on their way when the link falls silent arrive after it is back, on a connection that was replaced.
+void fault_script::holdUpOrders()
+{
+    std::size_t index = 0;
+    anyWorker(index);
+    auto& node = m_deployment.agents()[index];
+    log("link to " + node.name + " holds up what is sent");
+    node.rpcLink->set({ link_fault::Freeze, link_direction::Both });
+    undoLater(9000, 14'000, [this, &node] {
+        log("link to " + node.name + " delivers");
+        node.rpcLink->set(link_fault::None);
+    });
+}
+
+void fault_script::crashWorker()
+{
+    std::size_t index = 0;
+    auto& served = anyWorker(index);
+    if (!served.worker->isUp())
+        return;
+    const bool sameInstance = below(2) == 0;
+    log("crash of " + served.worker->settings().name);
+    served.link->set(link_fault::Cut);
+    served.worker->crash();
+    undoLater(200, 5000, [&served, sameInstance] {
+        served.link->set(link_fault::None);
+        served.worker->restart(sameInstance);
+    });
+}
+
+void fault_script::disturbWorker()
+{
+    std::size_t index = 0;
+    auto& served = anyWorker(index);
+    standin::platform_worker::disruption disruption;
+    switch (below(4)) {
+    case 0:
+        disruption.failsAll = true;
+        break;
+    case 1:
+        disruption.lateOrders = 0.5;
+        break;
+    case 2:
+        disruption.lostAnswers = 0.5;
+        break;
+    default:
+        served.link->set({ link_fault::Freeze, static_cast<link_direction>(below(3)) });
+        log("link to " + served.worker->settings().name + " is silent");
+        return undoLater(500, 9000, [&served] { served.link->set(link_fault::None); });
+    }
+    log(served.worker->settings().name + (disruption.failsAll ? " fails all" : " loses or delays orders"));
+    served.worker->disrupt(disruption);
+    undoLater(500, 6000, [&served] { served.worker->disrupt({}); });
+}
+
+void fault_script::disturbStore()
+{
+    standin::platform_store::disruption disruption;
+    switch (below(4)) {
+    case 0:
+        disruption.delay = milliseconds(240);
+        break;
+    case 1:
+        disruption.refuses = true;
+        break;
+    case 2:
+        disruption.lostAnswers = 0.4;
+        break;
+    default:
+        disruption.lateWrites = 0.4;
+    }
+    log("the store is disturbed");
+    m_deployment.store().disrupt(disruption);
+    undoLater(1000, 5000, [this] { m_deployment.store().disrupt({}); });
+}
+
+void fault_script::changeConfiguration()
+{
+    log("change of the configuration");
+    m_deployment.configure(1000 + below(1000), below(2) == 0);
+}
+
+void fault_script::evacuate()
+{
+    const auto domains = m_deployment.failureDomains();
+    const auto key = "op/evacuate/" + domains[below(static_cast<unsigned>(domains.size()))];
+    log("evacuation " + key);
+    m_deployment.store().put(key, "{}");
+    undoLater(2000, 8000, [this, key] { m_deployment.store().erase(key); });
+}
+
+void fault_script::put(std::size_t agent, const std::string& instance, const std::string& body)
+{
+    auto& client = m_heartbeatClients[agent];
+    if (client == nullptr)
+        client = std::make_unique<http_client>(m_loop, m_deployment.heartbeatAddress(m_deployment.agents()[agent]));
+    client->exchange({ kj::HttpMethod::PUT, "/api/instances/" + instance, {}, body, heartbeatDeadline }, [](const auto&) {});
+}
+
+void fault_script::sendForeignHeartbeat()
+{
+    std::size_t index = 0;
+    auto& served = anyWorker(index);
+    auto body = served.worker->heartbeat();
+    std::string instance = below(3) == 0 ? served.worker->instance() : "i-0f" + std::to_string(below(1'000'000));
+    std::string text;
+    const auto kind = below(12);
+    switch (kind) {
+    case 0:
+        body["service"] = "archive-desk";
+        break;
+    case 1:
+        body["state"] = "parked";
+        break;
+    case 2:
+        body["address"] = "desk.example";
+        break;
+    case 3:
+        body["address"] = "127.0.0.1:70000";
+        break;
+    case 4:
+        body["born"] = body["born"].get<std::int64_t>() + 1000;
+        body["service"] = "archive-desk";
+        break;
+    case 5:
+        body.erase("labels");
+        break;
+    case 6:
+        body["capacity"]["gpu"] = 1e300;
+        break;
+    case 7:
+        body["sequence"] = "first";
+        break;
+    case 8:
+        // The address of somebody else.
+        body["address"] = m_deployment.workers()[(index + 1) % m_deployment.workers().size()].worker->settings().announcedAddress;
+        break;
+    case 9:
+        text = std::string(200'000, '[');
+        break;
+    case 10:
+        text = "\xff\xfe{";
+        break;
+    default:
+        body.erase("born");
+    }
+    log("heartbeat of another writer, kind " + std::to_string(kind) + ", as " + instance + " at " + m_deployment.agents()[index].name);
+    put(index, instance, text.empty() ? body.dump() : text);
+}
+
+/// The worker's last heartbeat is held up until a later incarnation has registered, and the agent may have restarted.
+void fault_script::delayHeartbeat()
+{
+    std::size_t index = 0;
+    auto& served = anyWorker(index);
+    if (!served.worker->isUp())
+        return;
+    const auto instance = served.worker->instance();
+    const auto body = served.worker->heartbeat().dump();
+    log("a heartbeat of " + instance + " at " + m_deployment.agents()[index].name + " is held up");
+    served.worker->crash();
+    served.worker->restart(false);
+    const bool killsAgent = below(2) == 0;
+    undoLater(2000, 4000, [this, index, instance, body, killsAgent] {
+        auto& agent = m_deployment.agents()[index];
+        if (killsAgent) {
+            agent.mayEnd = true;
+            agent.process->kill();
+            m_deployment.run(agent);
+        }
+        for (int i = 0; i < 10; ++i) {
+            m_loop.timers().subscribeOnce(milliseconds(50 * i), [this, index, instance, body](oriole::time_point) { put(index, instance, body); });
+        }
+    });
+}
+
+/// Another writer leaves something else than an address, a number or a record of ours among the records.
+void fault_script::writeOddRecord()
+{
+    static const std::vector<std::string> places { "oriole/member/agent/", "oriole/member/entry/", "oriole/cores/", "oriole/job/",
+        "oriole/progress/", "oriole/status/", "oriole/cancel/", "op/evacuate/" };
+    const std::vector<std::string> values { "127.0.0.1:70000", "127.0.0.1:-1", "desk.example", "unix:/nowhere", "*", "1e999", "nan", "",
+        std::string("127.0.0.1:80\0x", 14), "\xff\xfe", std::string(100'000, '['), R"({"a":1e999,"b":[[[[]]]]})" };
+    const auto key = places[below(static_cast<unsigned>(places.size()))] + "odd-" + std::to_string(below(1'000'000));
+    const auto value = below(static_cast<unsigned>(values.size()));
+    log("record of another writer, " + key + ", value " + std::to_string(value));
+    m_deployment.store().put(key, values[value]);
+    undoLater(2000, 9000, [this, key] { m_deployment.store().erase(key); });
+}
+
+} // namespace fleet::soak
