--- a/Makefile
+++ b/Makefile
@@ -42,5 +42,11 @@
 	@build/bin/fleet_core_measure
 	@build/bin/outage
 
+# SEED=N plays the soak of oriolefleetd with that seed alone.
 soak: build
+ifdef SEED
+	@build/bin/fleet_soak --seed $(SEED) --directory build/soak-$(SEED)
+else
+	@build/bin/fleet_soak
 	@build/bin/soak
+endif
--- a/tests/fleet_soak/fault_script.cpp
+++ b/tests/fleet_soak/fault_script.cpp
@@ -253,7 +253,7 @@
     auto body = served.worker->heartbeat();
     std::string instance = below(3) == 0 ? served.worker->instance() : "i-0f" + std::to_string(below(1'000'000));
     std::string text;
-    const auto kind = below(12);
+    const auto kind = below(13);
     switch (kind) {
     case 0:
         body["service"] = "archive-desk";
@@ -290,6 +290,10 @@
     case 10:
         text = "\xff\xfe{";
         break;
+    case 11:
+        body["service"] = "archive-desk";
+        body["address"] = m_deployment.silentAddress();
+        break;
     default:
         body.erase("born");
     }
--- a/tests/fleet_soak/fleet_deployment.cpp
+++ b/tests/fleet_soak/fleet_deployment.cpp
@@ -22,6 +22,7 @@
 constexpr unsigned short storeProxyPort = 23'121;
 constexpr unsigned short workerProxyPort = 23'122;
 constexpr unsigned storeHost = 250;
+constexpr unsigned silentHost = 251;
 constexpr unsigned firstAgentHost = 20;
 constexpr unsigned firstWorkerHost = 120;
 constexpr unsigned workersPerRack = 3;
@@ -51,6 +52,8 @@
     const auto pid = static_cast<unsigned>(::getpid());
     m_prefix = "127." + std::to_string(2 + (pid >> 8U) % 60) + "." + std::to_string(pid % 256) + ".";
     m_store = std::make_unique<standin::platform_store>(m_loop, at(ip(storeHost), storePort), m_settings.seed);
+    m_silent = std::make_unique<fault_proxy>(endpoint { ip(silentHost), workerPort }, endpoint { ip(silentHost), storePort });
+    m_silent->set(oriole::harness::link_fault::Drop);
     configure();
     for (unsigned i = 0; i < m_settings.entries; ++i)
         addNode(m_entries, "entry", i, 1 + i);
@@ -91,6 +94,11 @@
     return m_prefix + std::to_string(host);
 }
 
+std::string fleet_deployment::silentAddress() const
+{
+    return at(ip(silentHost), workerPort);
+}
+
 double fleet_deployment::seconds() const
 {
     return std::chrono::duration<double>(m_loop.timers().now() - m_start).count();
--- a/tests/fleet_soak/fleet_deployment.hpp
+++ b/tests/fleet_soak/fleet_deployment.hpp
@@ -58,6 +58,8 @@
 
     [[nodiscard]] std::string callerAddress(const node& entry) const;
     [[nodiscard]] std::string heartbeatAddress(const node& agent) const;
+    /// @brief An address that accepts connections and never answers.
+    [[nodiscard]] std::string silentAddress() const;
     [[nodiscard]] double seconds() const;
 
     [[nodiscard]] std::vector<node>& entries() { return m_entries; }
@@ -78,6 +80,7 @@
     std::string m_prefix;
     std::int64_t m_version = 0;
     std::unique_ptr<standin::platform_store> m_store;
+    std::unique_ptr<oriole::harness::fault_proxy> m_silent;
     std::vector<node> m_entries;
     std::vector<node> m_agents;
     std::vector<served_worker> m_workers;
