--- a/lib/libfleet/source/entry/fleet_entry.cpp
+++ b/lib/libfleet/source/entry/fleet_entry.cpp
@@ -1,7 +1,7 @@
 #include <fleet/entry/fleet_entry.hpp>
 
+#include <fleet/model/socket_address.hpp>
 #include <fleet/records/job_codec.hpp>
-
 #include <fleet/scheduler/claim_delay.hpp>
 
 #include <oriole/helpers/log.hpp>
@@ -25,6 +25,18 @@
     return key.substr(agentsPrefix.size());
 }
 
+/// @brief Whether the record names an address. One that another writer left is passed over.
+bool isMember(const record& item)
+{
+    const bool usable = isSocketAddress(item.value);
+    if (!usable) {
+        oriole::logEvent(oriole::log_level::Warning, "member_unusable",
+            { { "key", item.key }, { "revision", item.revision }, { "bytes", item.value.size() },
+                { "reason", "the value is no IPv4 address and port" } });
+    }
+    return usable;
+}
+
 } // namespace
 
 std::string agentKey(const std::string& agent)
@@ -60,14 +72,14 @@
                 return;
             if (change.removed)
                 m_scheduler->forget(agentName(change.item.key));
-            else
+            else if (isMember(change.item))
                 m_scheduler->announce(agentName(change.item.key), change.item.value);
         },
         {});
     m_schedulerRecord.start([this](const record_change& change) { m_leadership.recordChanged(!change.removed); }, {});
     m_entries.start(
         [this](const record_change& change) {
-            if (!change.removed)
+            if (!change.removed && isMember(change.item))
                 m_dependencies.peers.add(change.item.value);
         },
         {});
@@ -137,8 +149,10 @@
 {
     const auto& view = m_dependencies.control.view();
     m_scheduler->start(view.rules, view.domainsOut);
-    for (const auto& [key, item] : m_agents.records())
-        m_scheduler->announce(agentName(key), item.value);
+    for (const auto& [key, item] : m_agents.records()) {
+        if (isMember(item))
+            m_scheduler->announce(agentName(key), item.value);
+    }
 }
 
 void fleet_entry::loseLeadership()
--- a/lib/libfleet/source/store/store_mirror.cpp
+++ b/lib/libfleet/source/store/store_mirror.cpp
@@ -2,6 +2,8 @@
 
 #include <oriole/helpers/log.hpp>
 
+#include <kj/exception.h>
+
 #include <utility>
 
 namespace fleet {
@@ -121,8 +123,13 @@
             return;
         m_records[change.item.key] = change.item;
     }
-    if (m_changeHandler)
-        m_changeHandler(change);
+    if (!m_changeHandler)
+        return;
+    // A record that one handler can't take must not end the watch, nor hold up the other changes of its page.
+    KJ_IF_MAYBE (error, kj::runCatchingExceptions([&] { m_changeHandler(change); })) {
+        oriole::logEvent(oriole::log_level::Error, "record_not_applied",
+            { { "key", change.item.key }, { "revision", change.item.revision }, { "error", error->getDescription().cStr() } });
+    }
 }
 
 void store_mirror::retry(void (store_mirror::*step)())
--- a/tests/fleet/store_test.cpp
+++ b/tests/fleet/store_test.cpp
@@ -8,6 +8,7 @@
 #include <fleet/store/store_mirror.hpp>
 
 #include <catch2/catch.hpp>
+#include <kj/debug.h>
 #include <rapidcheck/catch.h>
 
 using namespace fleet;
@@ -39,6 +40,34 @@
     CHECK(changes == 5);
 }
 
+// Guards against machines that stop following a list because of one odd entry in it.
+TEST_CASE("a record that its reader can't take holds up no other", "[store][odd-record]")
+{
+    fake_store store;
+    oriole::timer_service timers(start);
+    for (const auto* key : { "a/1", "a/odd-1", "a/z" })
+        store.put(key, "x");
+    store_mirror mirror(store, timers, "a/");
+    std::vector<std::string> taken;
+    mirror.start(
+        [&](const record_change& change) {
+            if (change.item.key == "a/odd-1")
+                throw std::invalid_argument("deeply nested");
+            if (change.item.key == "a/odd-2")
+                kj::throwFatalException(KJ_EXCEPTION(FAILED, "port out of range"));
+            taken.push_back(change.item.key);
+        },
+        {});
+    store.run();
+    CHECK(taken == std::vector<std::string> { "a/1", "a/z" });
+    store.put("a/odd-2", "y");
+    store.put("a/y", "y");
+    store.answerWatches();
+    store.put("a/x", "y");
+    store.answerWatches();
+    CHECK(taken == std::vector<std::string> { "a/1", "a/z", "a/y", "a/x" });
+}
+
 TEST_CASE("a mirror retries while the store is down", "[store]")
 {
     fake_store store;
