--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -26,6 +26,14 @@
     [[nodiscard]] milliseconds maxLeaseDuration() const { return lease + lease * 205 / 10'000; }
 };
 
+/// @brief A scheduler's connection to an agent.
+struct attachment_id {
+    std::uint64_t epoch = 0;
+    std::uint64_t number = 0; ///< Rises with each connection that the scheduler of this epoch opens.
+
+    auto operator<=>(const attachment_id&) const = default;
+};
+
 enum class start_outcome { Accepted,
     Refused,
     Unknown };
@@ -66,10 +74,12 @@
     void handleDeregistration(const std::string& instance);
 
     /// @brief Makes the given scheduler the one that controls the agent.
-    /// @return False if its epoch is lower than the current one.
-    bool attach(std::uint64_t epoch, std::shared_ptr<scheduler_link> link);
+    /// @return False if it is older than the current one.
+    bool attach(const attachment_id& attachment, std::shared_ptr<scheduler_link> link);
 
-    void start(std::uint64_t epoch, const worker_incarnation& life, start_order order,
+    /// @brief Starts a run, unless the order was sent on another attachment than the present one. An order that was held up is worth
+    /// nothing once a later connection is attached: the scheduler may have counted the worker as lost in between.
+    void start(const attachment_id& attachment, const worker_incarnation& life, start_order order,
         std::function<void(start_outcome, std::string)> done);
     void stop(std::uint64_t epoch, const worker_incarnation& life, const run_id& run, std::function<void(stop_outcome)> done);
     void acknowledge(std::uint64_t epoch, const worker_incarnation& life, std::uint64_t upTo);
@@ -103,7 +113,7 @@
     worker_heartbeat m_contradiction; ///< The last heartbeat of this incarnation that describes it differently.
     unsigned m_contradictions = 0; ///< How often in a row it was described like that.
     std::shared_ptr<scheduler_link> m_link;
-    std::uint64_t m_epoch = 0;
+    attachment_id m_attachment;
     time_point m_permittedUntil;
     time_point m_leaseEndsAt; ///< Time after which every run's lease has expired for certain.
     std::int64_t m_workerClockMs = 0; ///< The worker's clock at the last successful poll.
--- a/lib/libfleet/include/fleet/scheduler/agent_directory.hpp
+++ b/lib/libfleet/include/fleet/scheduler/agent_directory.hpp
@@ -81,6 +81,7 @@
     directory_timing m_timing;
     handlers m_handlers;
     std::map<std::string, agent_state> m_agents;
+    std::uint64_t m_lastAttachment = 0;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/lib/libfleet/schema/fleet.capnp
+++ b/lib/libfleet/schema/fleet.capnp
@@ -63,11 +63,15 @@
 }
 
 interface Agent {
-  attach @0 (epoch :UInt64, scheduler :Scheduler, agent :Text) -> (otherAgent :Text);
+  attach @0 (epoch :UInt64, scheduler :Scheduler, agent :Text, attachment :UInt64) -> (otherAgent :Text);
   # From now on the agent rejects orders of lower epochs, and it sends reports to this scheduler. If `agent` names another
-  # agent, whose address this one has now, nothing changes and `otherAgent` is the name of this one.
+  # agent, whose address this one has now, nothing changes and `otherAgent` is the name of this one. `attachment` rises with each
+  # connection of a scheduler, so that a message that was held up on a replaced one can be told.
+
+  start @1 (epoch :UInt64, life :Life, run :Run, text :Text, checkpoint :Text, attachment :UInt64)
+      -> (outcome :StartOutcome, reason :Text);
+  # Rejected unless `attachment` is the present one.
 
-  start @1 (epoch :UInt64, life :Life, run :Run, text :Text, checkpoint :Text) -> (outcome :StartOutcome, reason :Text);
   stop @2 (epoch :UInt64, life :Life, run :Run) -> (outcome :StopOutcome);
 
   acknowledge @3 (epoch :UInt64, life :Life, upTo :UInt64) -> ();
--- a/lib/libfleet/schema/fleet.capnp.h
+++ b/lib/libfleet/schema/fleet.capnp.h
@@ -224,7 +224,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(af49cbdcef88f70b, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(af49cbdcef88f70b, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -254,7 +254,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd68ebc9f96049e5, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(fd68ebc9f96049e5, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1287,6 +1287,8 @@
   inline bool hasAgent() const;
   inline  ::capnp::Text::Reader getAgent() const;
 
+  inline  ::uint64_t getAttachment() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1334,6 +1336,9 @@
   inline void adoptAgent(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAgent();
 
+  inline  ::uint64_t getAttachment();
+  inline void setAttachment( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1473,6 +1478,8 @@
   inline bool hasCheckpoint() const;
   inline  ::capnp::Text::Reader getCheckpoint() const;
 
+  inline  ::uint64_t getAttachment() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1532,6 +1539,9 @@
   inline void adoptCheckpoint(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownCheckpoint();
 
+  inline  ::uint64_t getAttachment();
+  inline void setAttachment( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3297,6 +3307,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Agent::AttachParams::Reader::getAttachment() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Agent::AttachParams::Builder::getAttachment() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Agent::AttachParams::Builder::setAttachment( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Agent::AttachResults::Reader::hasOtherAgent() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3491,6 +3515,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Agent::StartParams::Reader::getAttachment() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Agent::StartParams::Builder::getAttachment() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Agent::StartParams::Builder::setAttachment( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::fleet::rpc::StartOutcome Agent::StartResults::Reader::getOutcome() const {
   return _reader.getDataField< ::fleet::rpc::StartOutcome>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/lib/libfleet/source/agent/agent_server.cpp
+++ b/lib/libfleet/source/agent/agent_server.cpp
@@ -84,19 +84,20 @@
     kj::Promise<void> attach(AttachContext context) override
     {
         m_loop.syncTime();
-        const auto epoch = context.getParams().getEpoch();
+        const attachment_id attachment { context.getParams().getEpoch(), context.getParams().getAttachment() };
         const std::string expected = context.getParams().getAgent().cStr();
         // A scheduler of an earlier version names nobody.
         if (!expected.empty() && expected != m_name) {
-            oriole::logEvent(oriole::log_level::Warning, "scheduler_looks_for_other_agent", { { "epoch", epoch }, { "agent", expected } });
+            oriole::logEvent(oriole::log_level::Warning, "scheduler_looks_for_other_agent", { { "epoch", attachment.epoch }, { "agent", expected } });
             context.getResults().setOtherAgent(m_name);
             return kj::READY_NOW;
         }
         auto link = std::make_shared<rpc_scheduler_link>(m_loop, context.getParams().getScheduler());
-        const bool accepted = m_agent.attach(epoch, std::move(link));
-        oriole::logEvent(oriole::log_level::Info, "scheduler_attached", { { "epoch", epoch }, { "accepted", accepted } });
+        const bool accepted = m_agent.attach(attachment, std::move(link));
+        oriole::logEvent(oriole::log_level::Info, "scheduler_attached",
+            { { "epoch", attachment.epoch }, { "attachment", attachment.number }, { "accepted", accepted } });
         if (!accepted)
-            return KJ_EXCEPTION(FAILED, "lower epoch");
+            return KJ_EXCEPTION(FAILED, "lower epoch or replaced connection");
         return kj::READY_NOW;
     }
 
@@ -109,7 +110,7 @@
             return KJ_EXCEPTION(FAILED, "malformed task name");
         start_order order { *run, params.getText().cStr(), params.getCheckpoint().cStr() };
         auto answer = oriole::makePromiseCallback<start_result>();
-        m_agent.start(params.getEpoch(), readLife(params.getLife()), std::move(order),
+        m_agent.start({ params.getEpoch(), params.getAttachment() }, readLife(params.getLife()), std::move(order),
             [this, run = *run, epoch = params.getEpoch(), resolve = answer.resolve](start_outcome outcome, std::string reason) {
                 m_metrics.counter("oriole_start_orders_total", { { "outcome", std::string(toString(outcome)) } }).add();
                 oriole::logEvent(oriole::log_level::Info, "start_order",
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -113,7 +113,7 @@
         if (isSameIncarnation(heartbeat, m_worker))
             return handleContradiction(heartbeat);
     }
-    return m_check.propose(heartbeat, m_epoch);
+    return m_check.propose(heartbeat, m_attachment.epoch);
 }
 
 bool worker_agent::updateWorker(const worker_heartbeat& heartbeat)
@@ -194,11 +194,11 @@
     sendReport();
 }
 
-bool worker_agent::attach(std::uint64_t epoch, std::shared_ptr<scheduler_link> link)
+bool worker_agent::attach(const attachment_id& attachment, std::shared_ptr<scheduler_link> link)
 {
-    if (epoch < m_epoch)
+    if (attachment < m_attachment)
         return false;
-    m_epoch = epoch;
+    m_attachment = attachment;
     m_link = std::move(link);
     // The first report to this scheduler has to include the effects of all requests of earlier schedulers. A poll that
     // is already in flight may predate them, and so does what the last one returned.
@@ -206,7 +206,7 @@
     m_polling = false;
     m_reportedAt = {};
     m_report.responsive = false;
-    m_check.probeAll(epoch);
+    m_check.probeAll(attachment.epoch);
     poll(milliseconds(0));
     return true;
 }
@@ -222,7 +222,7 @@
         return;
     m_polling = true;
     const auto number = ++m_pollNumber;
-    poll_request request { m_epoch, m_acknowledgedUpTo, std::nullopt, wait };
+    poll_request request { m_attachment.epoch, m_acknowledgedUpTo, std::nullopt, wait };
     // The lease is not extended on a worker that may be gone: its runs count as ended once their lease has expired.
     const bool extends = isPermitted() && m_workerClockMs > 0 && m_failedPolls < maxFailedPolls;
     if (extends)
@@ -306,11 +306,13 @@
     });
 }
 
-void worker_agent::start(std::uint64_t epoch, const worker_incarnation& life, start_order order,
+void worker_agent::start(const attachment_id& attachment, const worker_incarnation& life, start_order order,
     std::function<void(start_outcome, std::string)> done)
 {
-    if (epoch != m_epoch)
+    if (attachment.epoch != m_attachment.epoch)
         return done(start_outcome::Refused, "lower epoch");
+    if (attachment.number != m_attachment.number)
+        return done(start_outcome::Refused, "the connection was replaced");
     if (!isPermitted())
         return done(start_outcome::Refused, "no permission: the scheduler's last answer is too old");
     if (m_runtime == nullptr || life != m_worker.worker.incarnation || m_workerClockMs == 0)
@@ -319,7 +321,7 @@
         return done(start_outcome::Refused, "the worker drains");
     if (m_failedPolls >= maxFailedPolls)
         return done(start_outcome::Refused, "the worker is silent");
-    order.epoch = epoch;
+    order.epoch = attachment.epoch;
     sendStart(std::move(order), 1, std::move(done));
 }
 
@@ -347,7 +349,7 @@
 void worker_agent::stop(
     std::uint64_t epoch, const worker_incarnation& life, const run_id& run, std::function<void(stop_outcome)> done)
 {
-    if (epoch != m_epoch)
+    if (epoch != m_attachment.epoch)
         return done(stop_outcome::Unanswered);
     if (m_runtime == nullptr)
         return done(stop_outcome::Unanswered);
@@ -405,7 +407,7 @@
 
 void worker_agent::acknowledge(std::uint64_t epoch, const worker_incarnation& life, std::uint64_t upTo)
 {
-    if (epoch != m_epoch || life != m_worker.worker.incarnation || upTo <= m_acknowledgedUpTo)
+    if (epoch != m_attachment.epoch || life != m_worker.worker.incarnation || upTo <= m_acknowledgedUpTo)
         return;
     m_acknowledgedUpTo = upTo;
     std::erase_if(m_report.ended, [upTo](const ended_run& entry) { return entry.number <= upTo; });
--- a/lib/libfleet/source/scheduler/agent_directory.cpp
+++ b/lib/libfleet/source/scheduler/agent_directory.cpp
@@ -27,13 +27,15 @@
 
 /// @brief One connection to an agent: the stream, the RPC system on it and the agent's capability.
 struct agent_directory::link {
-    link(kj::Own<kj::AsyncIoStream> opened)
-        : stream(kj::mv(opened))
+    link(kj::Own<kj::AsyncIoStream> opened, std::uint64_t attachmentNumber)
+        : number(attachmentNumber)
+        , stream(kj::mv(opened))
         , client(*stream)
         , agent(client.bootstrap().castAs<rpc::Agent>())
     {
     }
 
+    std::uint64_t number; ///< Tells the agent which of this scheduler's connections a message came on.
     kj::Own<kj::AsyncIoStream> stream;
     capnp::TwoPartyClient client;
     rpc::Agent::Client agent;
@@ -133,7 +135,7 @@
 {
     auto& state = m_agents[agent];
     state.connecting = false;
-    auto connection = std::make_shared<link>(kj::mv(stream));
+    auto connection = std::make_shared<link>(kj::mv(stream), ++m_lastAttachment);
     state.connection = connection;
     state.connectedAt = m_loop.timers().now();
     attach(agent, connection);
@@ -150,6 +152,7 @@
     auto request = connection->agent.attachRequest();
     request.setEpoch(m_epoch);
     request.setAgent(agent);
+    request.setAttachment(connection->number);
     request.setScheduler(kj::heap<report_service>(m_handlers.isEpochValid,
         [this, agent, weak = std::weak_ptr(connection), alive = m_alive](const worker_report& report) {
             if (const auto held = weak.lock(); *alive && held != nullptr)
@@ -245,6 +248,7 @@
     writeRun(request.initRun(), order.run);
     request.setText(order.text);
     request.setCheckpoint(order.checkpoint);
+    request.setAttachment(connection->number);
     auto sent = request.send().then(
         [done, alive = m_alive](capnp::Response<rpc::Agent::StartResults> answer) {
             if (!*alive)
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -63,7 +63,7 @@
             [this](const worker_heartbeat&) { return std::make_unique<fake_runtime>(record); })
     {
         agent.handleHeartbeat(heartbeat);
-        agent.attach(5, link);
+        agent.attach({ 5, 1 }, link);
         // The first answer confirms the incarnation, the second one lists its runs.
         answerPoll();
         answerPoll();
@@ -85,7 +85,7 @@
     start_outcome start(const std::vector<result<start_response>>& answers, std::uint64_t epoch = 5)
     {
         std::optional<start_outcome> outcome;
-        agent.start(epoch, heartbeat.worker.incarnation, { run, "text", "" }, [&](start_outcome reported, const std::string&) { outcome = reported; });
+        agent.start({ epoch, 1 }, heartbeat.worker.incarnation, { run, "text", "" }, [&](start_outcome reported, const std::string&) { outcome = reported; });
         for (const auto& answer : answers) {
             REQUIRE_FALSE(record.starts.empty());
             const auto done = record.starts.back().second;
@@ -116,7 +116,7 @@
     agent_fixture fixture;
     REQUIRE(fixture.link->reports.back().responsive);
     auto next = std::make_shared<fake_link>();
-    REQUIRE(fixture.agent.attach(6, next));
+    REQUIRE(fixture.agent.attach({ 6, 1 }, next));
     SECTION("a draining heartbeat is reported before the next poll is answered")
     {
         fixture.heartbeat.worker.draining = true;
@@ -169,7 +169,7 @@
     }
     SECTION("a scheduler with a lower epoch attaches")
     {
-        CHECK_FALSE(fixture.agent.attach(4, fixture.link));
+        CHECK_FALSE(fixture.agent.attach({ 4, 1 }, fixture.link));
         CHECK(fixture.start({ accepted }) == start_outcome::Accepted);
     }
     CHECK(fixture.record.starts.size() <= 1);
@@ -418,7 +418,7 @@
     agent.handleHeartbeat(agent_fixture::makeHeartbeat());
     record.polls.back().second(oriole::notRun(oriole::failure_kind::Unavailable, "hold answered 409"));
     agent.handleDeregistration("");
-    CHECK(agent.attach(5, link));
+    CHECK(agent.attach({ 5, 1 }, link));
     CHECK(link->reports.empty());
     CHECK(record.polls.back().first.epoch == 5);
     for (int i = 0; i < 2; ++i) {
@@ -443,3 +443,24 @@
     CHECK(fixture.agent.handleHeartbeat(foreign));
     CHECK(fixture.link->reports.back().worker.service == "unknown");
 }
+
+// Guards against a second run: a start order that a cut had held up arrived after the task had been started elsewhere.
+TEST_CASE("an order or attachment that was held up on a replaced connection changes nothing", "[agent][attachment]")
+{
+    agent_fixture fixture;
+    auto next = std::make_shared<fake_link>();
+    REQUIRE(fixture.agent.attach({ 5, 2 }, next));
+    fixture.answerPoll();
+    std::vector<std::pair<start_outcome, std::string>> outcomes;
+    const auto order = [&](std::uint64_t attachment) {
+        fixture.agent.start({ 5, attachment }, fixture.heartbeat.worker.incarnation, { fixture.run, "text", "" },
+            [&](start_outcome outcome, const std::string& reason) { outcomes.emplace_back(outcome, reason); });
+    };
+    order(1);
+    REQUIRE(outcomes.size() == 1);
+    CHECK(outcomes[0] == std::pair(start_outcome::Refused, std::string("the connection was replaced")));
+    CHECK(fixture.record.starts.empty());
+    CHECK_FALSE(fixture.agent.attach({ 5, 1 }, fixture.link));
+    order(2);
+    CHECK(fixture.record.starts.size() == 1);
+}
