--- a/lib/libfleet/source/agent/agent_server.cpp
+++ b/lib/libfleet/source/agent/agent_server.cpp
@@ -2,6 +2,7 @@
 
 #include <fleet/rpc/convert.hpp>
 #include <fleet/rpc/streams.hpp>
+#include <fleet/rpc/text.hpp>
 
 #include <oriole/helpers/log.hpp>
 #include <oriole/helpers/promise.hpp>
@@ -85,11 +86,11 @@
     {
         m_loop.syncTime();
         const attachment_id attachment { context.getParams().getEpoch(), context.getParams().getAttachment() };
-        const std::string expected = context.getParams().getAgent().cStr();
+        const std::string expected = fromMessageText(context.getParams().getAgent());
         // A scheduler of an earlier version names nobody.
         if (!expected.empty() && expected != m_name) {
             oriole::logEvent(oriole::log_level::Warning, "scheduler_looks_for_other_agent", { { "epoch", attachment.epoch }, { "agent", expected } });
-            context.getResults().setOtherAgent(m_name);
+            context.getResults().setOtherAgent(toMessageText(m_name));
             return kj::READY_NOW;
         }
         auto link = std::make_shared<rpc_scheduler_link>(m_loop, context.getParams().getScheduler());
@@ -108,7 +109,7 @@
         auto run = readRun(params.getRun());
         if (!run)
             return KJ_EXCEPTION(FAILED, "malformed task name");
-        start_order order { *run, params.getText().cStr(), params.getCheckpoint().cStr() };
+        start_order order { *run, fromMessageText(params.getText()), fromMessageText(params.getCheckpoint()) };
         auto answer = oriole::makePromiseCallback<start_result>();
         m_agent.start({ params.getEpoch(), params.getAttachment() }, readLife(params.getLife()), std::move(order),
             [this, run = *run, epoch = params.getEpoch(), resolve = answer.resolve](start_outcome outcome, std::string reason) {
@@ -120,7 +121,7 @@
             });
         return answer.promise.then([context](const start_result& result) mutable {
             context.getResults().setOutcome(toWire(result.outcome));
-            context.getResults().setReason(result.reason);
+            context.getResults().setReason(toMessageText(result.reason));
         });
     }
 
--- a/lib/libfleet/source/entry/entry_peers.cpp
+++ b/lib/libfleet/source/entry/entry_peers.cpp
@@ -1,6 +1,7 @@
 #include <fleet/entry/entry_peers.hpp>
 
 #include <fleet/rpc/streams.hpp>
+#include <fleet/rpc/text.hpp>
 
 #include <fleet.capnp.h>
 
@@ -34,8 +35,8 @@
     kj::Promise<void> relay(RelayContext context) override
     {
         const auto in = context.getParams().getRequest();
-        relayed_call call { in.getMethod().cStr(), in.getTarget().cStr(), in.getHost().cStr(), in.getKey().cStr(),
-            in.getBody().cStr() };
+        relayed_call call { fromMessageText(in.getMethod()), fromMessageText(in.getTarget()), fromMessageText(in.getHost()), fromMessageText(in.getKey()),
+            fromMessageText(in.getBody()) };
         auto answer = oriole::makePromiseCallback<std::shared_ptr<relayed_answer>>();
         m_handler.serve(call, [resolve = answer.resolve](relayed_answer served) {
             resolve(std::make_shared<relayed_answer>(std::move(served)));
@@ -43,14 +44,14 @@
         return answer.promise.then([context](const std::shared_ptr<relayed_answer>& served) mutable {
             auto out = context.getResults();
             out.setStatus(static_cast<std::uint16_t>(served->status));
-            out.setBody(served->body);
+            out.setBody(toMessageText(served->body));
             out.setRetryAfterSeconds(static_cast<std::uint16_t>(served->retryAfterSeconds));
         });
     }
 
     kj::Promise<void> announce(AnnounceContext context) override
     {
-        m_handler.announce(context.getParams().getAgent().cStr(), context.getParams().getAddress().cStr());
+        m_handler.announce(fromMessageText(context.getParams().getAgent()), fromMessageText(context.getParams().getAddress()));
         return kj::READY_NOW;
     }
 
@@ -166,14 +167,14 @@
     const auto connection = connected(address);
     auto request = connection->entry.relayRequest();
     auto out = request.initRequest();
-    out.setMethod(state->call.method);
-    out.setTarget(state->call.target);
-    out.setHost(state->call.host);
-    out.setKey(state->call.key);
-    out.setBody(state->call.body);
+    out.setMethod(toMessageText(state->call.method));
+    out.setTarget(toMessageText(state->call.target));
+    out.setHost(toMessageText(state->call.host));
+    out.setKey(toMessageText(state->call.key));
+    out.setBody(toMessageText(state->call.body));
     auto answer = request.send().then([](capnp::Response<rpc::Entry::RelayResults> response) {
         return std::make_shared<relayed_answer>(
-            relayed_answer { response.getStatus(), response.getBody().cStr(), response.getRetryAfterSeconds() });
+            relayed_answer { response.getStatus(), fromMessageText(response.getBody()), response.getRetryAfterSeconds() });
     });
     auto limit = m_loop.after(peerTimeout).then([]() -> std::shared_ptr<relayed_answer> {
         kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "the peer did not answer in time"));
@@ -206,8 +207,8 @@
     for (const auto& [peerAddress, known] : m_peers) {
         const auto connection = connected(peerAddress);
         auto request = connection->entry.announceRequest();
-        request.setAgent(agent);
-        request.setAddress(address);
+        request.setAgent(toMessageText(agent));
+        request.setAddress(toMessageText(address));
         auto sent = request.send().ignoreResult().catch_([this, peerAddress = peerAddress, connection, alive = m_alive](kj::Exception&&) {
             if (!*alive)
                 return;
--- a/lib/libfleet/source/rpc/convert.cpp
+++ b/lib/libfleet/source/rpc/convert.cpp
@@ -1,5 +1,7 @@
 #include <fleet/rpc/convert.hpp>
 
+#include <fleet/rpc/text.hpp>
+
 namespace fleet {
 
 namespace {
@@ -7,11 +9,11 @@
 void writeWorker(rpc::Report::Builder out, const worker_description& worker)
 {
     writeLife(out.initLife(), worker.incarnation);
-    out.setService(worker.service);
-    out.setFailureDomain(worker.failureDomain);
+    out.setService(toMessageText(worker.service));
+    out.setFailureDomain(toMessageText(worker.failureDomain));
     auto labels = out.initLabels(static_cast<unsigned>(worker.labels.size()));
     for (unsigned i = 0; i < labels.size(); ++i)
-        labels.set(i, worker.labels[i]);
+        labels.set(i, toMessageText(worker.labels[i]));
     out.setMillicores(worker.capacity.millicores);
     out.setMemoryMb(worker.capacity.memoryMb);
     out.setAccelerators(worker.capacity.accelerators);
@@ -23,10 +25,10 @@
 {
     worker_description worker;
     worker.incarnation = readLife(in.getLife());
-    worker.service = in.getService().cStr();
-    worker.failureDomain = in.getFailureDomain().cStr();
+    worker.service = fromMessageText(in.getService());
+    worker.failureDomain = fromMessageText(in.getFailureDomain());
     for (const auto label : in.getLabels())
-        worker.labels.emplace_back(label.cStr());
+        worker.labels.emplace_back(fromMessageText(label));
     worker.capacity = { in.getMillicores(), in.getMemoryMb(), in.getAccelerators() };
     worker.draining = in.getDraining();
     worker.drainRemainingMs = in.getDrainRemainingMs();
@@ -43,24 +45,24 @@
 
 void writeLife(rpc::Life::Builder out, const worker_incarnation& life)
 {
-    out.setInstance(life.instance);
+    out.setInstance(toMessageText(life.instance));
     out.setBornUnixMs(life.startedUnixMs);
 }
 
 worker_incarnation readLife(rpc::Life::Reader in)
 {
-    return { in.getInstance().cStr(), in.getBornUnixMs() };
+    return { fromMessageText(in.getInstance()), in.getBornUnixMs() };
 }
 
 void writeRun(rpc::Run::Builder out, const run_id& run)
 {
-    out.setTask(toString(run.task));
+    out.setTask(toMessageText(toString(run.task)));
     out.setAttempt(run.attempt);
 }
 
 std::optional<run_id> readRun(rpc::Run::Reader in)
 {
-    auto task = parseTaskId(in.getTask().cStr());
+    auto task = parseTaskId(fromMessageText(in.getTask()));
     if (!task)
         return std::nullopt;
     return run_id { std::move(*task), in.getAttempt() };
@@ -72,7 +74,7 @@
     auto active = out.initActive(static_cast<unsigned>(report.active.size()));
     for (unsigned i = 0; i < active.size(); ++i) {
         writeRun(active[i].initRun(), report.active[i].run);
-        active[i].setCheckpoint(report.active[i].checkpoint);
+        active[i].setCheckpoint(toMessageText(report.active[i].checkpoint));
         active[i].setPercent(static_cast<float>(report.active[i].percent));
         active[i].setUsage(static_cast<float>(report.active[i].usage));
     }
@@ -81,7 +83,7 @@
         writeRun(ended[i].initRun(), report.ended[i].run);
         ended[i].setNumber(report.ended[i].number);
         ended[i].setHow(static_cast<std::uint8_t>(report.ended[i].outcome));
-        ended[i].setCheckpoint(report.ended[i].checkpoint);
+        ended[i].setCheckpoint(toMessageText(report.ended[i].checkpoint));
     }
     out.setResponsive(report.responsive);
     out.setGone(report.gone);
@@ -94,11 +96,11 @@
     report.worker = readWorker(in);
     for (const auto entry : in.getActive()) {
         if (auto run = readRun(entry.getRun()))
-            report.active.push_back({ std::move(*run), entry.getCheckpoint().cStr(), entry.getPercent(), entry.getUsage() });
+            report.active.push_back({ std::move(*run), fromMessageText(entry.getCheckpoint()), entry.getPercent(), entry.getUsage() });
     }
     for (const auto entry : in.getEnded()) {
         if (auto run = readRun(entry.getRun()))
-            report.ended.push_back({ entry.getNumber(), std::move(*run), readOutcome(entry.getHow()), entry.getCheckpoint().cStr() });
+            report.ended.push_back({ entry.getNumber(), std::move(*run), readOutcome(entry.getHow()), fromMessageText(entry.getCheckpoint()) });
     }
     report.responsive = in.getResponsive();
     report.gone = in.getGone();
--- a/lib/libfleet/source/scheduler/agent_directory.cpp
+++ b/lib/libfleet/source/scheduler/agent_directory.cpp
@@ -2,6 +2,7 @@
 
 #include <fleet/rpc/convert.hpp>
 #include <fleet/rpc/streams.hpp>
+#include <fleet/rpc/text.hpp>
 
 #include <oriole/helpers/log.hpp>
 
@@ -151,7 +152,7 @@
 {
     auto request = connection->agent.attachRequest();
     request.setEpoch(m_epoch);
-    request.setAgent(agent);
+    request.setAgent(toMessageText(agent));
     request.setAttachment(connection->number);
     request.setScheduler(kj::heap<report_service>(m_handlers.isEpochValid,
         [this, agent, weak = std::weak_ptr(connection), alive = m_alive](const worker_report& report) {
@@ -160,7 +161,7 @@
         }));
     auto attached = request.send().then(
         [this, agent, connection, alive = m_alive](capnp::Response<rpc::Agent::AttachResults> answer) {
-            const std::string other = answer.getOtherAgent().cStr();
+            const std::string other = fromMessageText(answer.getOtherAgent());
             if (!*alive || other.empty())
                 return;
             // The machine has left and its address belongs to another one; the agent is found again when it announces itself.
@@ -246,8 +247,8 @@
     request.setEpoch(m_epoch);
     writeLife(request.initLife(), life);
     writeRun(request.initRun(), order.run);
-    request.setText(order.text);
-    request.setCheckpoint(order.checkpoint);
+    request.setText(toMessageText(order.text));
+    request.setCheckpoint(toMessageText(order.checkpoint));
     request.setAttachment(connection->number);
     auto sent = request.send().then(
         [done, alive = m_alive](capnp::Response<rpc::Agent::StartResults> answer) {
@@ -257,7 +258,7 @@
             const auto known = outcome == rpc::StartOutcome::ACCEPTED ? start_outcome::Accepted
                 : outcome == rpc::StartOutcome::REFUSED               ? start_outcome::Refused
                                                                       : start_outcome::Unknown;
-            done(known, answer.getReason().cStr());
+            done(known, fromMessageText(answer.getReason()));
         },
         [done, alive = m_alive](kj::Exception&& error) {
             if (*alive)
--- a/tests/fleet_soak/caller_load.cpp
+++ b/tests/fleet_soak/caller_load.cpp
@@ -60,6 +60,9 @@
     job_record job;
     job.id = id;
     job.spec = "work " + std::to_string(++m_submitted);
+    // Any text is allowed, also one with U+0000.
+    if (m_submitted % 5 == 0)
+        job.spec += std::string("\0 \xc3\xa9", 4);
     job.maxAttempts = maxAttempts;
     json steps = json::array();
     for (unsigned step = 0, count = 1 + below(2); step < count; ++step) {
