A request whose handler goes away without an answer may have run

Cause: http_listener, which the stand-ins use too, answered a request whose handler had dropped its responder as unreadable: 400, not-run.

Change: 500, may-have-run, with a log line. The stand-ins keep calls open that are to get no answer.

Measured: the new test fails before and passes now.

--- a/lib/libfleet/source/http/http_listener.cpp
+++ b/lib/libfleet/source/http/http_listener.cpp
@@ -99,7 +99,11 @@
                 oriole::log_level::Error, "request_handler_failed", { { "error", error->getDescription().cStr() } });
             answer.resolve({ 500, R"({"verdict":"may-have-run","reason":"internal error"})", {} });
         }
-        return kj::mv(answer.promise);
+        // A handler that goes away without an answer leaves open what it has done.
+        return answer.promise.catch_([](kj::Exception&& error) -> outgoing_response {
+            oriole::logEvent(oriole::log_level::Error, "request_not_answered", { { "error", error.getDescription().cStr() } });
+            return { 500, R"({"verdict":"may-have-run","reason":"no answer"})", {} };
+        });
     }
 
     kj::Promise<void> request(kj::HttpMethod method, kj::StringPtr url, const kj::HttpHeaders& headers,
--- a/tests/fleet/http_test.cpp
+++ b/tests/fleet/http_test.cpp
@@ -106,6 +106,19 @@
     CHECK(fixture.served == 2);
 }
 
+// Guards against an untrue "not-run": the handler had run and was gone before it answered.
+TEST_CASE("a request whose handler goes away without an answer may have run", "[http][unanswered]")
+{
+    oriole::event_loop loop;
+    http_listener listener(loop, { "127.0.0.1:" + std::to_string(testPort), {}, 1000 },
+        [](const incoming_request&, const http_listener::responder&) {});
+    loop.after(milliseconds(5)).wait(loop.io().waitScope);
+    raw_client peer(loop, testPort);
+    const auto answer = peer.send("POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}");
+    CHECK(answer.find("HTTP/1.1 500") != std::string::npos);
+    CHECK(answer.find("may-have-run") != std::string::npos);
+}
+
 TEST_CASE("pipelined requests are both answered", "[http]")
 {
     listener_fixture fixture;
--- a/tests/standins/platform/platform_store.cpp
+++ b/tests/standins/platform/platform_store.cpp
@@ -78,14 +78,17 @@
         m_loop.timers().subscribeOnce(late, [this, request, path, parameters](oriole::time_point) {
             static_cast<void>(serve(request, path, parameters));
         });
+        m_unanswered.push_back(respond);
         return;
     }
     const bool answers = !(writes && happens(m_disruption.lostAnswers));
     m_loop.timers().subscribeOnce(m_disruption.delay / 2, [this, request, path, parameters, respond, answers](oriole::time_point) {
         auto answer = serve(request, path, parameters);
-        m_loop.timers().subscribeOnce(m_disruption.delay / 2, [respond, answers, answer = std::move(answer)](oriole::time_point) {
+        m_loop.timers().subscribeOnce(m_disruption.delay / 2, [this, respond, answers, answer = std::move(answer)](oriole::time_point) {
             if (answers)
                 respond(answer);
+            else
+                m_unanswered.push_back(respond);
         });
     });
 }
--- a/tests/standins/platform/platform_store.hpp
+++ b/tests/standins/platform/platform_store.hpp
@@ -81,6 +81,7 @@
     std::deque<std::pair<std::int64_t, nlohmann::json>> m_events;
     std::map<std::int64_t, lease_state> m_leases;
     std::vector<waiting_watch> m_watches;
+    std::vector<http_listener::responder> m_unanswered; ///< Of calls that get no answer; without these they would get an error.
     std::unique_ptr<http_listener> m_listener;
 };
 
--- a/tests/standins/platform/platform_worker.cpp
+++ b/tests/standins/platform/platform_worker.cpp
@@ -53,6 +53,8 @@
         m_active.erase(m_active.begin());
     }
     m_ends.clear();
+    for (auto& waiting : m_polls)
+        m_unanswered.push_back(std::move(waiting.respond));
     m_polls.clear();
 }
 
@@ -99,8 +101,10 @@
 void platform_worker::handle(const incoming_request& request, const http_listener::responder& respond)
 {
     // Without an answer, as of a machine without power; a refused connection is the proxy's matter.
-    if (!m_up)
+    if (!m_up) {
+        m_unanswered.push_back(respond);
         return;
+    }
     const auto expected = request.headers.find("X-Expect-Instance");
     if (expected != request.headers.end() && expected->second != m_instance)
         return respond({ 421, "{}", {} });
@@ -115,10 +119,13 @@
             if (m_up && instance == m_instance && born == m_bornUnixMs)
                 serve(target, body);
         });
+        m_unanswered.push_back(respond);
         return;
     }
     auto answer = serve(request.target, body);
-    if (!happens(m_disruption.lostAnswers))
+    if (happens(m_disruption.lostAnswers))
+        m_unanswered.push_back(respond);
+    else
         respond(std::move(answer));
 }
 
--- a/tests/standins/platform/platform_worker.hpp
+++ b/tests/standins/platform/platform_worker.hpp
@@ -118,6 +118,7 @@
     std::map<std::string, unsigned> m_highestEnded; ///< By task: highest attempt that was stopped or has ended.
     std::vector<listed_end> m_ends;
     std::vector<waiting_poll> m_polls;
+    std::vector<http_listener::responder> m_unanswered; ///< Of calls that get no answer; without these they would get an error.
     std::unique_ptr<http_listener> m_listener;
     std::unique_ptr<http_client> m_agent;
 };
