--- a/lib/libfleet/include/fleet/records/job_codec.hpp
+++ b/lib/libfleet/include/fleet/records/job_codec.hpp
@@ -31,6 +31,9 @@
 
 std::string_view toString(job_state state);
 
+/// @brief Upper bound of the size of a job's record of progress in bytes, with names of workers as long as platforms give them.
+std::size_t maxProgressBytes(const job_spec& spec);
+
 std::string encodeJob(const accepted_job& job);
 std::optional<accepted_job> decodeJob(std::string_view text);
 
--- a/lib/libfleet/include/fleet/scheduler/progress_writer.hpp
+++ b/lib/libfleet/include/fleet/scheduler/progress_writer.hpp
@@ -55,6 +55,8 @@
         std::optional<job_state> recordedState;
         bool dirty = false;
         bool writing = false;
+        bool alone = false; ///< The store refused a transaction with it for good, so it is written without other jobs.
+        std::optional<oriole::time_point> notBefore; ///< It was refused alone; when it is tried again.
     };
 
     void flush();
@@ -63,6 +65,8 @@
         const result<commit_outcome>& outcome);
     bool adoptRevisions(const std::vector<record>& current);
     void flushAfter(milliseconds delay);
+    [[nodiscard]] std::vector<std::string> nextJobs();
+    void separateRefused(const std::vector<std::string>& jobs, const failure& error);
 
     record_store& m_store;
     oriole::timer_service& m_timers;
--- a/lib/libfleet/source/records/job_codec.cpp
+++ b/lib/libfleet/source/records/job_codec.cpp
@@ -119,6 +119,17 @@
     return stateNames.at(static_cast<std::size_t>(state));
 }
 
+std::size_t maxProgressBytes(const job_spec& spec)
+{
+    // Status, three counts, the names of a worker and its instance, a start time and a checkpoint.
+    constexpr std::size_t bytesPerTask = 128;
+    constexpr std::size_t bytesPerRecord = 100;
+    std::size_t tasks = 0;
+    for (const auto& step : spec.steps)
+        tasks += step.count;
+    return bytesPerRecord + tasks * spec.occurrences() * bytesPerTask;
+}
+
 std::string encodeJob(const accepted_job& job)
 {
     json steps = json::array();
--- a/lib/libfleet/source/scheduler/progress_writer.cpp
+++ b/lib/libfleet/source/scheduler/progress_writer.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t jobsPerTransaction = 10;
 constexpr milliseconds retryDelay { 150 };
 constexpr milliseconds conflictDelay { 10 };
+// A record that the store refuses for good is tried again this rarely; it may fit once tasks have ended.
+constexpr milliseconds refusedRetryDelay { 2000 };
 
 } // namespace
 
@@ -69,17 +71,43 @@
 }
 
 void progress_writer::flush()
+{
+    const auto jobs = nextJobs();
+    if (jobs.empty())
+        return;
+    write(jobs);
+    flush();
+}
+
+std::vector<std::string> progress_writer::nextJobs()
 {
     std::vector<std::string> jobs;
+    const auto now = m_timers.now();
     for (const auto& job : m_dirty) {
-        if (!m_jobs[job].writing)
-            jobs.push_back(job);
-        if (jobs.size() == jobsPerTransaction)
+        const auto& entry = m_jobs[job];
+        if (entry.writing || (entry.notBefore && now < *entry.notBefore))
+            continue;
+        if (entry.alone && !jobs.empty())
+            continue;
+        jobs.push_back(job);
+        if (entry.alone || jobs.size() == jobsPerTransaction)
             break;
     }
-    if (jobs.empty())
-        return;
-    write(jobs);
+    return jobs;
+}
+
+/// One record that the store refuses for good, as one that is too large, must not hold up the jobs that are written with it.
+void progress_writer::separateRefused(const std::vector<std::string>& jobs, const failure& error)
+{
+    if (jobs.size() > 1) {
+        for (const auto& job : jobs)
+            m_jobs[job].alone = true;
+        return flushAfter(milliseconds(0));
+    }
+    oriole::logEvent(oriole::log_level::Error, "progress_refused",
+        { { "job", jobs.front() }, { "reason", error.reason }, { "retry_ms", refusedRetryDelay.count() } });
+    m_jobs[jobs.front()].notBefore = m_timers.now() + refusedRetryDelay;
+    flushAfter(refusedRetryDelay);
     flush();
 }
 
@@ -120,6 +148,8 @@
         if (applied) {
             entry.revision = outcome.value().revision;
             entry.recordedState = states[i];
+            entry.alone = false;
+            entry.notBefore.reset();
         } else {
             entry.dirty = true;
             m_dirty.insert(jobs[i]);
@@ -136,6 +166,8 @@
     if (!outcome) {
         oriole::logEvent(oriole::log_level::Warning, "progress_not_written",
             { { "jobs", jobs.size() }, { "first", jobs.front() }, { "reason", outcome.error().reason } });
+        if (outcome.error().kind == oriole::failure_kind::InvalidInput)
+            return separateRefused(jobs, outcome.error());
         return flushAfter(retryDelay);
     }
     if (!adoptRevisions(outcome.value().current))
--- a/main/oriolefleetd/source/entry_process.cpp
+++ b/main/oriolefleetd/source/entry_process.cpp
@@ -49,7 +49,7 @@
         , m_peers(m_loop, { settings.rpcAddress, announcedAddress(settings, options) })
         , m_entry({ m_loop, m_store, m_control, m_metrics, bootClock, m_peers },
               { settings.name, announcedAddress(settings, options), settings.cores }, schedulerSettings(settings))
-        , m_api({ m_loop, m_desk, m_control, m_peers, m_metrics, bootClock, maxViewAge })
+        , m_api({ m_loop, m_desk, m_control, m_peers, m_metrics, bootClock, maxViewAge, settings.maxRecordBytes })
         , m_server(m_loop, *this, settings.rpcAddress)
         , m_callers(m_loop, { settings.callerAddress, { "X-Key" }, 1U << 20U },
               [this](const fleet::incoming_request& request, const auto& respond) { m_api.handle(request, respond); })
--- a/tests/fleet/fake_store.hpp
+++ b/tests/fleet/fake_store.hpp
@@ -4,6 +4,7 @@
 
 #include <fleet/store/record_store.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <iterator>
 #include <map>
@@ -59,6 +60,10 @@
         const auto chosen = std::exchange(next, write_fate::Answered);
         if (down || chosen == write_fate::Refused)
             return answer([done = std::move(done)] { done(oriole::notRun(oriole::failure_kind::Unavailable, "refused")); });
+        const bool invalid = std::any_of(transaction.writes.begin(), transaction.writes.end(),
+            [this](const auto& write) { return write.key == invalidKey; });
+        if (invalid)
+            return answer([done = std::move(done)] { done(oriole::notRun(oriole::failure_kind::InvalidInput, "value too large")); });
         if (chosen == write_fate::Answered) {
             const auto outcome = commitNow(transaction);
             return answer([outcome, done = std::move(done)] { done(outcome); });
@@ -141,6 +146,7 @@
     std::vector<record_transaction> late;
     revision_number revision = 100;
     write_fate next = write_fate::Answered;
+    std::string invalidKey; ///< A transaction that writes this record is refused for good.
     bool down = false;
     bool leaseValid = true;
     std::size_t pageSize = 500;
--- a/tests/fleet/store_test.cpp
+++ b/tests/fleet/store_test.cpp
@@ -145,6 +145,28 @@
     CHECK(stored->state == job_state::Completed);
 }
 
+// Guards against one job that stops all scheduling: its record was refused for ever, with those of up to nine other jobs.
+TEST_CASE("a record that the store refuses for good holds up no other job", "[store][progress][record-size]")
+{
+    writer_fixture fixture;
+    fixture.store.invalidKey = record_keys::progress + "j5";
+    for (int i = 0; i < 25; ++i)
+        fixture.writer->markDirty("j" + std::to_string(i));
+    fixture.pass(milliseconds(1));
+    fixture.pass(milliseconds(1));
+    fixture.pass(milliseconds(200));
+    CHECK(fixture.recorded == 24);
+    CHECK_FALSE(fixture.writer->isClean("j5"));
+    const auto calls = fixture.store.calls;
+    for (int i = 0; i < 10; ++i)
+        fixture.pass(milliseconds(100));
+    CHECK(fixture.store.calls == calls);
+    fixture.store.invalidKey.clear();
+    fixture.pass(milliseconds(2000));
+    CHECK(fixture.writer->isClean("j5"));
+    CHECK_FALSE(fixture.leadershipLost);
+}
+
 TEST_CASE("a scheduler that was replaced writes no progress", "[store][progress]")
 {
     writer_fixture fixture;
