--- a/tests/fleet_soak/fleet_deployment.cpp
+++ b/tests/fleet_soak/fleet_deployment.cpp
@@ -130,9 +130,9 @@
 void fleet_deployment::writeSettings(const node& which) const
 {
     const auto domains = failureDomains();
-    json zones = json::object();
+    json regionsOfDomains = json::object();
     for (const auto& domain : domains)
-        zones[domain] = "region-" + domain;
+        regionsOfDomains[domain] = "region-" + domain;
     json seeds = json::array();
     for (unsigned i = 0; i < m_settings.entries; ++i)
         seeds.push_back(at(ip(1 + i), heartbeatPort));
@@ -140,7 +140,7 @@
     const json listen = isEntry ? json { { "frontend", at(which.ip, callerPort) }, { "ready", at(which.ip, readyPort) } }
                                 : json { { "controlPlane", at(which.ip, heartbeatPort) } };
     const json settings { { "nodeName", which.name }, { "role", which.role }, { "ip", which.ip },
-        { "zone", which.failureDomain }, { "zones", zones }, { "listenAddrs", listen },
+        { "zone", which.failureDomain }, { "zones", regionsOfDomains }, { "listenAddrs", listen },
         { "portRange", { rpcPort, rpcPort + 5 } }, { "seedNodes", seeds },
         { "platform", { { "address", at(which.ip, storeProxyPort) } } },
         { "limits", { { "cpuQuota", 0.25 }, { "cpuCores", 1 } } },
