The scheduler logs each run that it counts as lost, with the reason and its inputs

Change: run_lost (task, attempt, agent, incarnation, reason, whether it was active, time since it was placed and reported) for each of the six reasons, with a counter by reason; worker_unresponsive and worker_registered give the time left of the lease and the runs that are concerned; worker_responsive when polls succeed again. No decision changes.

--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -103,6 +103,8 @@
     void sendStop(const std::shared_ptr<stop_request>& request);
     void completeStops(const poll_response& answer);
     [[nodiscard]] std::int64_t workerClock() const;
+    /// @brief How long the lease of anything on the worker may last.
+    [[nodiscard]] milliseconds leaseLeft() const;
 
     oriole::timer_service& m_timers;
     clock m_clock;
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -67,6 +67,29 @@
 
 using effect = std::variant<start_effect, stop_effect>;
 
+/// @brief What shows that a run has ended although its end was not listed.
+enum class loss_reason {
+    LeaseExpired, ///< Its agent reports that everything on the worker has ended.
+    AgentSilent, ///< Its agent has not reported for longer than it may extend leases.
+    OtherIncarnation, ///< The worker has another incarnation.
+    StopConfirmed, ///< The worker does not list it after a stop.
+    StartRefused, ///< The worker or its agent refused the start.
+    NotOrdered, ///< Its start was not sent yet.
+};
+
+std::string_view toString(loss_reason reason);
+
+/// @brief A run that counts as ended without an end that was listed, with the inputs of the decision.
+struct run_loss {
+    run_id run;
+    std::string worker;
+    worker_incarnation life;
+    loss_reason reason = loss_reason::LeaseExpired;
+    bool wasActive = false; ///< Whether the worker had accepted or reported it.
+    milliseconds sincePlaced { 0 };
+    milliseconds sinceReported { 0 }; ///< Since its progress was last reported; of a run never reported, since it was placed.
+};
+
 struct core_settings {
     double spreadFactor = 3; ///< Slow-down of a task away from its data, as specified by the platform.
     milliseconds gangTimeout { 3000 }; ///< How long gang members wait for each other, as specified by the platform.
@@ -98,8 +121,8 @@
     void startRefused(const run_id& run, bool insufficientResources, time_point now);
     void markStartUnconfirmed(const run_id& run);
 
-    /// @brief The worker confirmed that it does not have the run and will not start it.
-    void confirmRunAbsent(const run_id& run, time_point now);
+    /// @brief The worker does not have the run and will not start it.
+    void confirmRunAbsent(const run_id& run, time_point now, loss_reason reason = loss_reason::StopConfirmed);
 
     /// @brief Returns the effects to be carried out. @p now is the monotonic time, @p unixMs the wall clock, for due times.
     std::vector<effect> decide(time_point now, std::int64_t unixMs);
@@ -110,10 +133,15 @@
     /// @brief Placements that were deferred since the last call.
     std::vector<placement_deferral> takeDeferrals();
 
+    /// @brief Runs that were counted as lost since the last call.
+    std::vector<run_loss> takeLosses();
+
     [[nodiscard]] const tables& state() const { return m_state; }
 
 private:
     void finishRun(const run_id& run, run_outcome how, const std::string& checkpoint, time_point now);
+    void loseRun(const run_id& run, loss_reason reason, time_point now);
+    void loseAllRuns(const std::string& worker, loss_reason reason, time_point now);
     void endRunsOfOtherIncarnations(const std::string& worker, const worker_incarnation& life, time_point now);
     void updateFaultScore(const live_run& run, run_outcome how, time_point now);
     void applyActiveRuns(const std::string& worker, const worker_report& report, time_point now);
@@ -161,6 +189,7 @@
     std::map<unit_id, time_point> m_reservationTriedAt; ///< When a reservation or eviction for a unit last failed.
     std::map<unit_id, deferral_reason> m_lastDeferrals; ///< Repeated failures of a unit are reported once.
     std::vector<placement_deferral> m_deferrals;
+    std::vector<run_loss> m_losses;
     std::set<std::string> m_changed;
     std::vector<effect> m_effects;
 };
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -168,7 +168,9 @@
     }
     oriole::logEvent(oriole::log_level::Info, "worker_registered",
         { { "instance", life.instance }, { "born_unix_ms", life.startedUnixMs }, { "address", heartbeat.address },
-            { "accelerators", heartbeat.worker.capacity.accelerators } });
+            { "accelerators", heartbeat.worker.capacity.accelerators },
+            { "displaced_instance", m_worker.worker.incarnation.instance }, { "displaced_address", m_worker.address },
+            { "lease_left_ms", leaseLeft().count() }, { "displaced_active", m_report.active.size() } });
     m_runtime = runtime;
     m_worker = heartbeat;
     m_contradictions = 0;
@@ -211,6 +213,11 @@
     return true;
 }
 
+milliseconds worker_agent::leaseLeft() const
+{
+    return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(m_leaseEndsAt - m_clock()));
+}
+
 std::int64_t worker_agent::workerClock() const
 {
     return m_workerClockMs + std::chrono::duration_cast<milliseconds>(m_clock() - m_workerClockReadAt).count();
@@ -249,7 +256,9 @@
         const bool unresponsive = refused || m_failedPolls >= maxFailedPolls;
         if (unresponsive && (m_report.responsive || gone != m_report.gone)) {
             oriole::logEvent(oriole::log_level::Warning, "worker_unresponsive",
-                { { "reason", answer.error().reason }, { "gone", gone }, { "failed_polls", m_failedPolls } });
+                { { "instance", m_worker.worker.incarnation.instance }, { "address", m_worker.address },
+                    { "reason", answer.error().reason }, { "gone", gone }, { "failed_polls", m_failedPolls },
+                    { "lease_left_ms", leaseLeft().count() }, { "active", m_report.active.size() } });
         }
         m_report.responsive = m_report.responsive && !unresponsive;
         m_report.gone = gone;
@@ -260,6 +269,11 @@
     const bool changed = !m_report.responsive || m_report.endsTruncated != answer.value().endsTruncated
         || !sameRuns(m_report.active, answer.value().active)
         || m_report.ended.size() != answer.value().ended.size();
+    if (m_failedPolls > 0) {
+        oriole::logEvent(oriole::log_level::Info, "worker_responsive",
+            { { "instance", m_worker.worker.incarnation.instance }, { "failed_polls", m_failedPolls }, { "was_gone", m_report.gone },
+                { "active", answer.value().active.size() }, { "ended", answer.value().ended.size() } });
+    }
     m_failedPolls = 0;
     m_workerClockMs = answer.value().clockMs;
     m_workerClockReadAt = m_clock();
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -27,6 +27,25 @@
 
 } // namespace
 
+std::string_view toString(loss_reason reason)
+{
+    switch (reason) {
+    case loss_reason::LeaseExpired:
+        return "the lease of everything on its worker has expired";
+    case loss_reason::AgentSilent:
+        return "no report from its agent until the lease must have expired";
+    case loss_reason::OtherIncarnation:
+        return "its worker has another incarnation";
+    case loss_reason::StopConfirmed:
+        return "its worker does not list it after a stop";
+    case loss_reason::StartRefused:
+        return "its start was refused";
+    case loss_reason::NotOrdered:
+        return "its start was not sent";
+    }
+    return "";
+}
+
 scheduler_core::scheduler_core(core_settings settings)
     : m_settings(settings)
 {
@@ -126,7 +145,7 @@
             finishRun(ended.run, ended.outcome, ended.checkpoint, now);
     }
     if (report.gone)
-        return markWorkerLost(worker, now);
+        return loseAllRuns(worker, loss_reason::LeaseExpired, now);
     if (!report.responsive)
         return;
     applyActiveRuns(worker, report, now);
@@ -241,14 +260,19 @@
             lost.push_back(id);
     }
     for (const auto& id : lost)
-        finishRun(id, run_outcome::Lost, {}, now);
+        loseRun(id, loss_reason::OtherIncarnation, now);
 }
 
 void scheduler_core::markWorkerLost(const std::string& worker, time_point now)
+{
+    loseAllRuns(worker, loss_reason::AgentSilent, now);
+}
+
+void scheduler_core::loseAllRuns(const std::string& worker, loss_reason reason, time_point now)
 {
     const auto lost = workerOf(m_state, worker).runs;
     for (const auto& id : lost)
-        finishRun(id, run_outcome::Lost, {}, now);
+        loseRun(id, reason, now);
 }
 
 void scheduler_core::startAccepted(const run_id& run, time_point now)
@@ -274,7 +298,7 @@
     // The run may have ended there already; the worker's answer to a stop shows it.
     if (found->second.restored == restore_state::Ordered)
         return stop(found->second, "its restored start was refused", now);
-    finishRun(run, run_outcome::Lost, {}, now);
+    loseRun(run, loss_reason::StartRefused, now);
 }
 
 void scheduler_core::markStartUnconfirmed(const run_id& run)
@@ -283,9 +307,21 @@
         found->second.unconfirmed = true;
 }
 
-void scheduler_core::confirmRunAbsent(const run_id& run, time_point now)
+void scheduler_core::confirmRunAbsent(const run_id& run, time_point now, loss_reason reason)
+{
+    loseRun(run, reason, now);
+}
+
+void scheduler_core::loseRun(const run_id& id, loss_reason reason, time_point now)
 {
-    finishRun(run, run_outcome::Lost, {}, now);
+    const auto found = m_state.runs.find(id);
+    if (found == m_state.runs.end())
+        return;
+    const auto& run = found->second;
+    const auto since = [now](time_point then) { return std::chrono::duration_cast<milliseconds>(now - then); };
+    m_losses.push_back({ id, run.worker, run.life, reason, run.phase == run_phase::Active, since(run.placedAt),
+        since(std::max(run.placedAt, run.reportedAt)) });
+    finishRun(id, run_outcome::Lost, {}, now);
 }
 
 void scheduler_core::finishRun(const run_id& id, run_outcome how, const std::string& checkpoint, time_point now)
@@ -323,6 +359,11 @@
     }
 }
 
+std::vector<run_loss> scheduler_core::takeLosses()
+{
+    return std::exchange(m_losses, {});
+}
+
 std::set<std::string> scheduler_core::takeChangedJobs()
 {
     return std::exchange(m_changed, {});
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -52,6 +52,7 @@
               [this](const std::string& agent) {
                   oriole::logEvent(oriole::log_level::Warning, "worker_lost", { { "agent", agent } });
                   m_core.markWorkerLost(agent, m_environment.loop.timers().now());
+                  logLosses();
                   scheduleDecision();
               },
               [this, limit = settings.directory.epochValidity] {
@@ -211,6 +212,7 @@
     }
     const bool news = m_core.canChangeDecision(agent, report);
     m_core.applyReport(agent, report, m_environment.loop.timers().now());
+    logLosses();
     trackEnds(agent, report);
     for (const auto& job : m_core.takeChangedJobs())
         m_writer.markDirty(job);
@@ -349,7 +351,8 @@
     const auto unsent = std::find_if(starts.begin(), starts.end(), [&](const auto& start) { return start.order.run == order.run; });
     if (unsent != starts.end()) {
         starts.erase(unsent);
-        m_core.confirmRunAbsent(order.run, m_environment.loop.timers().now());
+        m_core.confirmRunAbsent(order.run, m_environment.loop.timers().now(), loss_reason::NotOrdered);
+        logLosses();
         scheduleDecision();
         return;
     }
@@ -370,6 +373,18 @@
     m_environment.metrics.counter("oriole_deferrals_total", { { "reason", std::string(toString(deferral.reason)) } }).add();
 }
 
+void fleet_scheduler::logLosses()
+{
+    for (const auto& loss : m_core.takeLosses()) {
+        oriole::logEvent(oriole::log_level::Warning, "run_lost",
+            { { "task", toString(loss.run.task) }, { "attempt", loss.run.attempt }, { "agent", loss.worker },
+                { "instance", loss.life.instance }, { "born_unix_ms", loss.life.startedUnixMs }, { "reason", toString(loss.reason) },
+                { "active", loss.wasActive }, { "placed_ms_ago", loss.sincePlaced.count() },
+                { "reported_ms_ago", loss.sinceReported.count() } });
+        m_environment.metrics.counter("oriole_run_losses_total", { { "reason", std::string(toString(loss.reason)) } }).add();
+    }
+}
+
 void fleet_scheduler::recorded(const std::string& job)
 {
     logFinished(job);
@@ -438,6 +453,7 @@
                 m_core.startRefused(id, reason == "room", now);
             else
                 m_core.markStartUnconfirmed(id);
+            logLosses();
             scheduleDecision();
         });
 }
@@ -455,6 +471,7 @@
         if (outcome == stop_outcome::Absent) {
             m_pendingStops.erase(id);
             m_core.confirmRunAbsent(id, m_environment.loop.timers().now());
+            logLosses();
             return scheduleDecision();
         }
         const bool ending = outcome == stop_outcome::Ending;
