--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -311,6 +311,30 @@
     }
 }
 
+// Guards against a second run beside the first: two refused connections in a row made the scheduler count all runs of a living
+// worker as lost.
+TEST_CASE("a worker that can't be reached for a moment is not reported as gone", "[agent][lost-worker]")
+{
+    agent_fixture fixture;
+    fixture.answerPoll({ { fixture.run, {}, 10 } });
+    const auto failure = GENERATE(as<result<poll_response>> {},
+        oriole::notRun(oriole::failure_kind::NotFound, "connection refused"),
+        oriole::notRun(oriole::failure_kind::NotFound, "another incarnation of the worker"),
+        poll_response { { {}, 7 }, 1000, {}, {} });
+    for (int i = 0; i < 4; ++i) {
+        const auto done = fixture.record.polls.back().second;
+        done(failure);
+        fixture.advance(300);
+    }
+    fixture.answerPoll({ { fixture.run, {}, 12 } });
+    for (const auto& report : fixture.link->reports) {
+        CHECK_FALSE(report.gone);
+        CHECK(report.worker.incarnation == fixture.heartbeat.worker.incarnation);
+    }
+    CHECK(fixture.link->reports.back().responsive);
+    CHECK(fixture.link->reports.back().active.size() == 1);
+}
+
 // A heartbeat of another writer can name an address that no client can be made for.
 TEST_CASE("a heartbeat that can't be served changes nothing, and the worker's next one is taken", "[agent]")
 {
--- a/tests/fleet_soak/fault_script.cpp
+++ b/tests/fleet_soak/fault_script.cpp
@@ -29,7 +29,8 @@
         { "crash", [this] { crashWorker(); } }, { "worker", [this] { disturbWorker(); } }, { "store", [this] { disturbStore(); } },
         { "configuration", [this] { changeConfiguration(); } }, { "evacuation", [this] { evacuate(); } },
         { "foreign-heartbeat", [this] { sendForeignHeartbeat(); } }, { "delayed-heartbeat", [this] { delayHeartbeat(); } },
-        { "odd-record", [this] { writeOddRecord(); } } };
+        { "odd-record", [this] { writeOddRecord(); } },
+        { "refusing-link", [this] { refuseConnections(); } }, { "other-worker", [this] { misdirectConnections(); } } };
 }
 
 std::vector<std::string> fault_script::allKinds()
@@ -202,6 +203,32 @@
     undoLater(500, 6000, [&served] { served.worker->disrupt({}); });
 }
 
+/// The worker lives, and its runs go on, while its agent's connections are refused.
+void fault_script::refuseConnections()
+{
+    std::size_t index = 0;
+    auto& served = anyWorker(index);
+    if (!served.worker->isUp())
+        return;
+    log("link to " + served.worker->settings().name + " refuses connections");
+    served.link->set(link_fault::Cut);
+    undoLater(300, 9000, [&served] { served.link->set(link_fault::None); });
+}
+
+/// As of an address that another worker has taken over: it answers in place of the one that the agent expects, which lives.
+void fault_script::misdirectConnections()
+{
+    std::size_t index = 0;
+    auto& served = anyWorker(index);
+    if (!served.worker->isUp())
+        return;
+    log("another worker answers at the address of " + served.worker->settings().name);
+    standin::platform_worker::disruption disruption;
+    disruption.othersAnswer = true;
+    served.worker->disrupt(disruption);
+    undoLater(300, 9000, [&served] { served.worker->disrupt({}); });
+}
+
 void fault_script::disturbStore()
 {
     standin::platform_store::disruption disruption;
--- a/tests/fleet_soak/fault_script.hpp
+++ b/tests/fleet_soak/fault_script.hpp
@@ -44,6 +44,8 @@
     void holdUpOrders();
     void crashWorker();
     void disturbWorker();
+    void refuseConnections();
+    void misdirectConnections();
     void disturbStore();
     void changeConfiguration();
     void evacuate();
--- a/tests/fleet_soak/fleet_deployment.cpp
+++ b/tests/fleet_soak/fleet_deployment.cpp
@@ -26,6 +26,7 @@
 constexpr unsigned firstAgentHost = 20;
 constexpr unsigned firstWorkerHost = 120;
 constexpr unsigned workersPerRack = 3;
+constexpr double slowestClockRate = 0.98;
 constexpr oriole::milliseconds processCheckPeriod { 200 };
 
 std::string at(const std::string& ip, unsigned short port)
@@ -65,6 +66,7 @@
         worker.service = serviceName;
         worker.failureDomain = domains[i % domains.size()];
         worker.rack = "r" + std::to_string(i / workersPerRack);
+        worker.clockRate = i % 2 == 0 ? 1 : slowestClockRate;
         const auto address = ip(firstWorkerHost + i);
         worker.listenAddress = at(address, workerPort);
         worker.announcedAddress = at(address, workerProxyPort);
--- a/tests/standins/platform/platform_worker.cpp
+++ b/tests/standins/platform/platform_worker.cpp
@@ -95,7 +95,8 @@
 
 std::int64_t platform_worker::clockMs() const
 {
-    return std::chrono::duration_cast<milliseconds>(m_loop.timers().now() - m_clockStart).count();
+    const auto passed = std::chrono::duration<double, std::milli>(m_loop.timers().now() - m_clockStart);
+    return static_cast<std::int64_t>(passed.count() * m_settings.clockRate);
 }
 
 void platform_worker::handle(const incoming_request& request, const http_listener::responder& respond)
@@ -105,6 +106,8 @@
         m_unanswered.push_back(respond);
         return;
     }
+    if (m_disruption.othersAnswer)
+        return respond({ 421, "{}", {} });
     const auto expected = request.headers.find("X-Expect-Instance");
     if (expected != request.headers.end() && expected->second != m_instance)
         return respond({ 421, "{}", {} });
--- a/tests/standins/platform/platform_worker.hpp
+++ b/tests/standins/platform/platform_worker.hpp
@@ -31,6 +31,7 @@
     std::int64_t millicores = 16'000;
     std::int64_t memoryMb = 64'000;
     std::int64_t accelerators = 8;
+    double clockRate = 1; ///< Of its steady clock, which may be 2 % slow.
     oriole::milliseconds heartbeat { 1500 };
     oriole::milliseconds maxLease { 6000 };
 };
@@ -41,6 +42,7 @@
         bool failsAll = false; ///< Runs end as failed after 100 ms.
         double lateOrders = 0; ///< Share of the orders that are not answered and carried out 2 to 8 s later.
         double lostAnswers = 0; ///< Share of the orders that are carried out and not answered.
+        bool othersAnswer = false; ///< Another worker answers at its address; this one and its runs go on.
     };
 
     /// @param runTime Run time of a task with this name.
