--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -22,8 +22,12 @@
     milliseconds permission { 4000 };
     milliseconds lease { 6000 }; ///< Lease of all runs, counted from each poll; the worker may allow less.
 
-    /// @brief Upper bound of a lease's duration on the agent's clock: the worker's clock may run 2 % slow.
-    [[nodiscard]] milliseconds maxLeaseDuration() const { return lease + lease * 205 / 10'000; }
+    milliseconds maxClockAge { 4000 }; ///< An older reading of the worker's clock is not used for deadlines.
+
+    /// @brief Upper bound of the time in which the worker's clock, which may run 2 % slow, advances by @p duration.
+    [[nodiscard]] static milliseconds longestDuration(milliseconds duration) { return duration + duration * 205 / 10'000; }
+    /// @brief Upper bound of a lease's duration on the agent's clock, counted from the sending of its deadline.
+    [[nodiscard]] milliseconds maxLeaseDuration() const { return longestDuration(lease + maxClockAge) - maxClockAge; }
 };
 
 /// @brief A scheduler's connection to an agent.
@@ -66,7 +70,8 @@
     worker_agent& operator=(const worker_agent&) = delete;
 
     /// @brief Updates the worker's description. An incarnation that the heartbeat names for the first time takes the place of
-    /// the present one once the worker has confirmed it and the present one has ended.
+    /// the present one once the worker has confirmed it, at the same address or after the lease of the present one has expired.
+    /// Runs of the earlier one count as ended only when that lease has expired.
     /// @return False if the heartbeat is out of order, names an earlier incarnation or contradicts the present one.
     bool handleHeartbeat(const worker_heartbeat& heartbeat);
 
@@ -94,7 +99,9 @@
     bool handleContradiction(const worker_heartbeat& heartbeat);
     void handleConfirmed(
         const worker_heartbeat& heartbeat, const std::shared_ptr<backend_runtime>& runtime, const poll_response& answer);
-    [[nodiscard]] bool hasEnded(const worker_heartbeat& successor) const;
+    [[nodiscard]] bool mayReplace(const worker_heartbeat& successor) const;
+    [[nodiscard]] bool haveOthersEnded() const { return m_clock() > m_othersLeaseEndsAt; }
+    [[nodiscard]] std::optional<stop_outcome> stopOutcomeWithoutOrder(const worker_incarnation& life) const;
     void poll(milliseconds wait);
     void handlePoll(const result<poll_response>& answer);
     void schedulePoll(milliseconds delay);
@@ -103,6 +110,9 @@
     void sendStop(const std::shared_ptr<stop_request>& request);
     void completeStops(const poll_response& answer);
     [[nodiscard]] std::int64_t workerClock() const;
+    [[nodiscard]] bool mayExtendLease() const;
+    /// @brief The deadline of a lease that lasts its full duration from now on.
+    std::int64_t extendLease();
     /// @brief How long the lease of anything on the worker may last.
     [[nodiscard]] milliseconds leaseLeft() const;
 
@@ -117,7 +127,9 @@
     std::shared_ptr<scheduler_link> m_link;
     attachment_id m_attachment;
     time_point m_permittedUntil;
-    time_point m_leaseEndsAt; ///< Time after which every run's lease has expired for certain.
+    /// Time after which the lease of everything on the worker, whatever its incarnation, has expired for certain.
+    time_point m_leaseEndsAt;
+    time_point m_othersLeaseEndsAt; ///< The same for the runs of other incarnations than the present one.
     std::int64_t m_workerClockMs = 0; ///< The worker's clock at the last successful poll.
     time_point m_workerClockReadAt;
     std::uint64_t m_acknowledgedUpTo = 0;
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -71,7 +71,7 @@
 enum class loss_reason {
     LeaseExpired, ///< Its agent reports that everything on the worker has ended.
     AgentSilent, ///< Its agent has not reported for longer than it may extend leases.
-    OtherIncarnation, ///< The worker has another incarnation.
+    OtherIncarnation, ///< The worker has another incarnation, and the lease of its earlier ones has expired.
     StopConfirmed, ///< The worker does not list it after a stop.
     StartRefused, ///< The worker or its agent refused the start.
     NotOrdered, ///< Its start was not sent yet.
@@ -107,8 +107,8 @@
     void cancelJob(const std::string& id);
     [[nodiscard]] const job_row* findJob(const std::string& id) const;
 
-    /// @brief Applies an agent's report. Runs that it lists as ended are finished; runs of another incarnation of the
-    /// worker count as lost.
+    /// @brief Applies an agent's report. Runs that it lists as ended are finished; runs of other incarnations of the worker
+    /// count as lost once their lease has expired.
     void applyReport(const std::string& worker, const worker_report& report, time_point now);
     /// @brief Whether a report can change a decision by more than the progress of runs.
     [[nodiscard]] bool canChangeDecision(const std::string& worker, const worker_report& report) const;
@@ -142,7 +142,8 @@
     void finishRun(const run_id& run, run_outcome how, const std::string& checkpoint, time_point now);
     void loseRun(const run_id& run, loss_reason reason, time_point now);
     void loseAllRuns(const std::string& worker, loss_reason reason, time_point now);
-    void endRunsOfOtherIncarnations(const std::string& worker, const worker_incarnation& life, time_point now);
+    void endRunsOfOtherIncarnations(const worker_row& worker, const worker_report& report, time_point now);
+    [[nodiscard]] std::vector<run_id> runsOfOtherIncarnations(const worker_row& worker, const worker_incarnation& life) const;
     void updateFaultScore(const live_run& run, run_outcome how, time_point now);
     void applyActiveRuns(const std::string& worker, const worker_report& report, time_point now);
     void stopMissingRuns(const std::string& worker, const worker_report& report, time_point now);
--- a/lib/libfleet/include/fleet/model/worker.hpp
+++ b/lib/libfleet/include/fleet/model/worker.hpp
@@ -64,7 +64,8 @@
     std::vector<ended_run> ended;
     bool endsTruncated = false; ///< More runs have ended than are listed, so a run that is not listed may have ended.
     bool responsive = true; ///< The worker answered the last poll.
-    bool gone = false; ///< It does not answer and whatever ran on it has certainly ended.
+    bool gone = false; ///< It does not answer, and the lease of everything that ran on it has expired.
+    bool othersMayRun = false; ///< The lease of what earlier incarnations of the worker run may not have expired.
 };
 
 } // namespace fleet
--- a/lib/libfleet/schema/fleet.capnp
+++ b/lib/libfleet/schema/fleet.capnp
@@ -43,6 +43,7 @@
   responsive @11 :Bool;
   gone @12 :Bool;
   endsTruncated @13 :Bool; # more runs have ended than are listed
+  othersMayRun @14 :Bool; # the lease of what earlier incarnations run may not have expired
 }
 
 enum StartOutcome {
--- a/lib/libfleet/schema/fleet.capnp.h
+++ b/lib/libfleet/schema/fleet.capnp.h
@@ -861,6 +861,8 @@
 
   inline bool getEndsTruncated() const;
 
+  inline bool getOthersMayRun() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -956,6 +958,9 @@
   inline bool getEndsTruncated();
   inline void setEndsTruncated(bool value);
 
+  inline bool getOthersMayRun();
+  inline void setOthersMayRun(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3133,6 +3138,20 @@
       ::capnp::bounded<195>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Report::Reader::getOthersMayRun() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<196>() * ::capnp::ELEMENTS);
+}
+
+inline bool Report::Builder::getOthersMayRun() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<196>() * ::capnp::ELEMENTS);
+}
+inline void Report::Builder::setOthersMayRun(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<196>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Scheduler::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -95,6 +95,7 @@
               handleConfirmed(heartbeat, runtime, answer);
           })
     , m_leaseEndsAt(m_clock() + m_timing.maxLeaseDuration())
+    , m_othersLeaseEndsAt(m_leaseEndsAt)
 {
 }
 
@@ -149,21 +150,22 @@
     return true;
 }
 
-/// The scheduler takes a report on another incarnation as proof that all runs of this one have ended.
-bool worker_agent::hasEnded(const worker_heartbeat& successor) const
+bool worker_agent::mayReplace(const worker_heartbeat& successor) const
 {
-    return successor.address == m_worker.address || m_report.gone || m_clock() > m_leaseEndsAt;
+    const bool isPresent = successor.worker.incarnation == m_worker.worker.incarnation;
+    return isPresent || successor.address == m_worker.address || m_clock() > m_leaseEndsAt;
 }
 
 void worker_agent::handleConfirmed(
     const worker_heartbeat& heartbeat, const std::shared_ptr<backend_runtime>& runtime, const poll_response& answer)
 {
     const auto& life = heartbeat.worker.incarnation;
-    if (m_runtime != nullptr && !hasEnded(heartbeat)) {
+    if (m_runtime != nullptr && !mayReplace(heartbeat)) {
         // Its next heartbeat proposes it again.
         oriole::logEvent(oriole::log_level::Warning, "incarnation_waits",
             { { "instance", life.instance }, { "address", heartbeat.address },
-                { "present_instance", m_worker.worker.incarnation.instance }, { "present_address", m_worker.address } });
+                { "present_instance", m_worker.worker.incarnation.instance }, { "present_address", m_worker.address },
+                { "lease_left_ms", leaseLeft().count() } });
         return;
     }
     oriole::logEvent(oriole::log_level::Info, "worker_registered",
@@ -171,10 +173,13 @@
             { "accelerators", heartbeat.worker.capacity.accelerators },
             { "displaced_instance", m_worker.worker.incarnation.instance }, { "displaced_address", m_worker.address },
             { "lease_left_ms", leaseLeft().count() }, { "displaced_active", m_report.active.size() } });
+    if (life != m_worker.worker.incarnation) {
+        m_acknowledgedUpTo = 0;
+        m_othersLeaseEndsAt = m_leaseEndsAt;
+    }
     m_runtime = runtime;
     m_worker = heartbeat;
     m_contradictions = 0;
-    m_acknowledgedUpTo = 0;
     m_workerClockMs = answer.clockMs;
     m_workerClockReadAt = m_clock();
     m_report = {};
@@ -223,6 +228,20 @@
     return m_workerClockMs + std::chrono::duration_cast<milliseconds>(m_clock() - m_workerClockReadAt).count();
 }
 
+bool worker_agent::mayExtendLease() const
+{
+    return isPermitted() && m_workerClockMs > 0 && m_clock() - m_workerClockReadAt <= m_timing.maxClockAge;
+}
+
+std::int64_t worker_agent::extendLease()
+{
+    const auto deadlineMs = workerClock() + m_timing.lease.count();
+    // The worker read its clock before the answer arrived, so the deadline passes no later than this.
+    m_leaseEndsAt = std::max(
+        m_leaseEndsAt, m_workerClockReadAt + agent_timing::longestDuration(milliseconds(deadlineMs - m_workerClockMs)));
+    return deadlineMs;
+}
+
 void worker_agent::poll(milliseconds wait)
 {
     if (m_runtime == nullptr || m_polling)
@@ -231,18 +250,15 @@
     const auto number = ++m_pollNumber;
     poll_request request { m_attachment.epoch, m_acknowledgedUpTo, std::nullopt, wait };
     // The lease is not extended on a worker that may be gone: its runs count as ended once their lease has expired.
-    const bool extends = isPermitted() && m_workerClockMs > 0 && m_failedPolls < maxFailedPolls;
-    if (extends)
-        request.deadlineMs = workerClock() + m_timing.lease.count();
-    m_runtime->poll(request, [this, number, extends, runtime = m_runtime, alive = m_alive](result<poll_response> answer) {
+    if (m_failedPolls == 0 && mayExtendLease())
+        request.deadlineMs = extendLease();
+    m_runtime->poll(request, [this, number, runtime = m_runtime, alive = m_alive](result<poll_response> answer) {
         if (!*alive || number != m_pollNumber)
             return;
         m_polling = false;
         // A different start time means that the worker restarted; its next heartbeat describes the new incarnation.
         if (answer && answer.value().life.startedUnixMs != 0 && answer.value().life.startedUnixMs != m_worker.worker.incarnation.startedUnixMs)
             answer = oriole::notRun(oriole::failure_kind::NotFound, "the worker was restarted");
-        if (extends)
-            m_leaseEndsAt = std::max(m_leaseEndsAt, m_clock() + m_timing.maxLeaseDuration());
         handlePoll(answer);
     });
 }
@@ -252,7 +268,8 @@
     if (!answer) {
         ++m_failedPolls;
         const bool refused = answer.error().kind == oriole::failure_kind::NotFound;
-        const bool gone = (refused && m_failedPolls >= maxFailedPolls) || m_clock() > m_leaseEndsAt;
+        // A refused connection or the answer of another incarnation may be due to the path to a worker that lives.
+        const bool gone = m_clock() > m_leaseEndsAt;
         const bool unresponsive = refused || m_failedPolls >= maxFailedPolls;
         if (unresponsive && (m_report.responsive || gone != m_report.gone)) {
             oriole::logEvent(oriole::log_level::Warning, "worker_unresponsive",
@@ -305,6 +322,7 @@
         return;
     const auto sentAt = m_clock();
     m_reportedAt = sentAt;
+    m_report.othersMayRun = !haveOthersEnded();
     m_link->report(m_report, [this, sentAt, link = m_link, alive = m_alive](bool confirmed) {
         if (!*alive || link != m_link)
             return;
@@ -333,7 +351,7 @@
         return done(start_outcome::Refused, "another life of the worker");
     if (m_worker.worker.draining)
         return done(start_outcome::Refused, "the worker drains");
-    if (m_failedPolls >= maxFailedPolls)
+    if (m_failedPolls >= maxFailedPolls || !mayExtendLease())
         return done(start_outcome::Refused, "the worker is silent");
     order.epoch = attachment.epoch;
     sendStart(std::move(order), 1, std::move(done));
@@ -341,8 +359,7 @@
 
 void worker_agent::sendStart(start_order order, unsigned tries, std::function<void(start_outcome, std::string)> done)
 {
-    order.deadlineMs = workerClock() + m_timing.lease.count();
-    m_leaseEndsAt = std::max(m_leaseEndsAt, m_clock() + m_timing.maxLeaseDuration());
+    order.deadlineMs = extendLease();
     const auto runtime = m_runtime;
     runtime->start(order, [this, order, tries, done = std::move(done), runtime, alive = m_alive](result<start_response> answer) {
         if (!*alive)
@@ -354,7 +371,7 @@
             return done(tries > 1 ? start_outcome::Unknown : start_outcome::Refused, answer.value().reason);
         if (answer.error().ran == oriole::verdict::NotRun && tries == 1)
             return done(start_outcome::Refused, answer.error().reason);
-        if (tries >= maxStartTries || runtime != m_runtime || !isPermitted())
+        if (tries >= maxStartTries || runtime != m_runtime || !mayExtendLease())
             return done(start_outcome::Unknown, answer.error().reason);
         sendStart(order, tries + 1, done);
     });
@@ -367,8 +384,6 @@
         return done(stop_outcome::Unanswered);
     if (m_runtime == nullptr)
         return done(stop_outcome::Unanswered);
-    if (life != m_worker.worker.incarnation)
-        return done(stop_outcome::Absent);
     auto request = std::make_shared<stop_request>();
     request->run = run;
     request->epoch = epoch;
@@ -378,10 +393,22 @@
     sendStop(request);
 }
 
+/// What is known of a run without asking the worker.
+std::optional<stop_outcome> worker_agent::stopOutcomeWithoutOrder(const worker_incarnation& life) const
+{
+    const auto& present = m_worker.worker.incarnation;
+    if (life == present)
+        return std::nullopt;
+    if (!haveOthersEnded())
+        return stop_outcome::Unanswered;
+    // A start order to an earlier incarnation may still reach the present one if it has the same instance id.
+    return life.instance == present.instance ? std::nullopt : std::optional(stop_outcome::Absent);
+}
+
 void worker_agent::sendStop(const std::shared_ptr<stop_request>& request)
 {
-    if (request->life != m_worker.worker.incarnation)
-        return request->done(stop_outcome::Absent);
+    if (const auto known = stopOutcomeWithoutOrder(request->life))
+        return request->done(*known);
     const auto runtime = m_runtime;
     runtime->stop(request->run, request->epoch, [this, request, runtime, alive = m_alive](const result<bool>& answer) {
         if (!*alive)
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -35,7 +35,7 @@
     case loss_reason::AgentSilent:
         return "no report from its agent until the lease must have expired";
     case loss_reason::OtherIncarnation:
-        return "its worker has another incarnation";
+        return "its worker has another incarnation, and the lease of earlier ones has expired";
     case loss_reason::StopConfirmed:
         return "its worker does not list it after a stop";
     case loss_reason::StartRefused:
@@ -123,13 +123,13 @@
 {
     const auto known = m_state.workers.find(worker);
     return known == m_state.workers.end() || !report.ended.empty() || report.gone
-        || known->second.reachable != report.responsive || known->second.description != report.worker;
+        || known->second.reachable != report.responsive || known->second.description != report.worker
+        || (!report.othersMayRun && !runsOfOtherIncarnations(known->second, report.worker.incarnation).empty());
 }
 
 void scheduler_core::applyReport(const std::string& worker, const worker_report& report, time_point now)
 {
     auto& row = workerOf(m_state, worker);
-    endRunsOfOtherIncarnations(worker, report.worker.incarnation, now);
     if (row.description.incarnation != report.worker.incarnation) {
         row.faultScore = 0;
         row.drainDeadline.reset();
@@ -149,6 +149,7 @@
     if (!report.responsive)
         return;
     applyActiveRuns(worker, report, now);
+    endRunsOfOtherIncarnations(row, report, now);
     stopMissingRuns(worker, report, now);
 }
 
@@ -158,8 +159,10 @@
         const auto run = m_state.runs.find(active.run);
         if (run == m_state.runs.end())
             stopUnrecordedRun(worker, report, active, now);
-        else if (run->second.worker == worker)
+        else if (run->second.worker == worker) {
+            run->second.life = report.worker.incarnation;
             updateProgress(run->second, active, now);
+        }
     }
 }
 
@@ -234,7 +237,8 @@
     };
     for (const auto& id : workerOf(m_state, worker).runs) {
         auto& run = m_state.runs.at(id);
-        if (run.phase == run_phase::Stopping || isListed(id))
+        // The list says nothing of other incarnations.
+        if (run.life != report.worker.incarnation || run.phase == run_phase::Stopping || isListed(id))
             continue;
         if (!run.missingSince && run.phase == run_phase::Active)
             run.missingSince = now;
@@ -252,15 +256,28 @@
 }
 
 /// Compares the incarnation stored in each run: the worker's entry has none yet if it was created by a restored record.
-void scheduler_core::endRunsOfOtherIncarnations(const std::string& worker, const worker_incarnation& life, time_point now)
+void scheduler_core::endRunsOfOtherIncarnations(const worker_row& worker, const worker_report& report, time_point now)
 {
-    std::vector<run_id> lost;
-    for (const auto& id : workerOf(m_state, worker).runs) {
-        if (m_state.runs.at(id).life != life)
-            lost.push_back(id);
+    // One that is not listed may have ended on the present incarnation all the same.
+    if (report.othersMayRun || report.endsTruncated)
+        return;
+    const auto& present = report.worker.incarnation;
+    for (const auto& id : runsOfOtherIncarnations(worker, present)) {
+        auto& run = m_state.runs.at(id);
+        // An order that was sent to an earlier incarnation may still start the run on one with the same id; a stop excludes it.
+        if (run.life.instance != present.instance)
+            loseRun(id, loss_reason::OtherIncarnation, now);
+        else if (run.phase != run_phase::Stopping)
+            stop(run, "its worker was started again", now);
     }
-    for (const auto& id : lost)
-        loseRun(id, loss_reason::OtherIncarnation, now);
+}
+
+std::vector<run_id> scheduler_core::runsOfOtherIncarnations(const worker_row& worker, const worker_incarnation& life) const
+{
+    std::vector<run_id> others;
+    std::copy_if(worker.runs.begin(), worker.runs.end(), std::back_inserter(others),
+        [&](const run_id& id) { return m_state.runs.at(id).life != life; });
+    return others;
 }
 
 void scheduler_core::markWorkerLost(const std::string& worker, time_point now)
--- a/lib/libfleet/source/rpc/convert.cpp
+++ b/lib/libfleet/source/rpc/convert.cpp
@@ -87,6 +87,7 @@
     }
     out.setResponsive(report.responsive);
     out.setGone(report.gone);
+    out.setOthersMayRun(report.othersMayRun);
     out.setEndsTruncated(report.endsTruncated);
 }
 
@@ -104,6 +105,7 @@
     }
     report.responsive = in.getResponsive();
     report.gone = in.getGone();
+    report.othersMayRun = in.getOthersMayRun();
     report.endsTruncated = in.getEndsTruncated();
     return report;
 }
--- a/tests/fleet/convert_test.cpp
+++ b/tests/fleet/convert_test.cpp
@@ -36,6 +36,8 @@
     for (int how = 0; how <= static_cast<int>(run_outcome::Lost); ++how)
         report.ended.push_back({ 7, { { "0123456789abcdef", 0, 0, 0 }, 1 }, static_cast<run_outcome>(how), "" });
     report.endsTruncated = true;
+    report.gone = true;
+    report.othersMayRun = true;
     capnp::MallocMessageBuilder message;
     auto out = message.initRoot<rpc::Report>();
     writeReport(out, report);
@@ -43,6 +45,8 @@
     CHECK(read.active == report.active);
     CHECK(read.ended == report.ended);
     CHECK(read.endsTruncated);
+    CHECK(read.gone);
+    CHECK(read.othersMayRun);
 
     out.getEnded()[0].setHow(200);
     out.getActive()[0].getRun().setTask("no task");
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -91,10 +91,53 @@
     }
     SECTION("the worker has a new incarnation: the run is lost and the next attempt starts")
     {
-        next.core.applyReport("w1", workerReport("r1", 8, "another"), next.now);
+        auto report = workerReport("r1", 8, "another");
+        SECTION("its lease has expired") { }
+        // Guards against a second run beside the first: an answer of another incarnation does not show that the earlier one ended.
+        SECTION("nothing starts while its lease may last")
+        {
+            report.othersMayRun = true;
+            for (int i = 0; i < 10; ++i) {
+                next.now += milliseconds(1000);
+                next.core.applyReport("w1", report, next.now);
+                CHECK(next.decide().empty());
+            }
+            REQUIRE(next.core.state().runs.size() == 1);
+            report.othersMayRun = false;
+            CHECK(next.core.canChangeDecision("w1", report));
+        }
+        next.core.applyReport("w1", report, next.now);
         const auto starts = core_fixture::only<start_effect>(next.decide());
         REQUIRE(starts.size() == 1);
         CHECK(starts[0].run.attempt == 2);
+        const auto losses = next.core.takeLosses();
+        REQUIRE(losses.size() == 1);
+        CHECK(losses[0].reason == loss_reason::OtherIncarnation);
+        CHECK(losses[0].run.attempt == 1);
+    }
+    // A start order to the earlier incarnation may reach the later one, which has the same id.
+    SECTION("the worker was started again under the same id")
+    {
+        auto report = workerReport("r1");
+        report.worker.incarnation.startedUnixMs = 2;
+        SECTION("it does not list the run, which is stopped there before the next attempt starts")
+        {
+            next.core.applyReport("w1", report, next.now);
+            const auto effects = next.decide();
+            REQUIRE(effects.size() == 1);
+            CHECK(std::get<stop_effect>(effects[0]).run.attempt == 1);
+            next.core.confirmRunAbsent({ { "a", 0, 0, 0 }, 1 }, next.now);
+            const auto starts = core_fixture::only<start_effect>(next.decide());
+            REQUIRE(starts.size() == 1);
+            CHECK(starts[0].run.attempt == 2);
+        }
+        SECTION("it runs it: the run goes on")
+        {
+            report.active.push_back({ { { "a", 0, 0, 0 }, 1 }, {}, 10 });
+            next.core.applyReport("w1", report, next.now);
+            CHECK(next.decide().empty());
+            CHECK(next.core.state().runs.size() == 1);
+        }
     }
 }
 
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -280,35 +280,47 @@
     fixture.answerPoll();
     CHECK(fixture.start({}) == start_outcome::Refused);
     std::optional<stop_outcome> outcome;
-    fixture.agent.stop(5, fixture.heartbeat.worker.incarnation, fixture.run, [&](stop_outcome reported) { outcome = reported; });
+    const auto stopEarlierRun = [&] {
+        fixture.agent.stop(
+            5, fixture.heartbeat.worker.incarnation, fixture.run, [&](stop_outcome reported) { outcome = reported; });
+    };
+    stopEarlierRun();
+    CHECK(outcome == stop_outcome::Unanswered);
+    fixture.advance(6300);
+    stopEarlierRun();
+    REQUIRE(fixture.record.stops.size() == 1);
+    fixture.record.stops.back().second(true);
+    fixture.answerPoll();
     CHECK(outcome == stop_outcome::Absent);
 }
 
-TEST_CASE("a worker is gone when it refuses connections or does not answer for longer than the lease", "[agent]")
+TEST_CASE("a worker is gone once the lease of everything on it has expired, however its polls fail", "[agent][lost-worker]")
 {
     agent_fixture fixture;
-    const auto fail = [&](oriole::failure_kind kind) {
-        const auto done = fixture.record.polls.back().second;
-        done(oriole::notRun(kind, "no answer"));
-        fixture.advance(300);
+    const auto kind = GENERATE(oriole::failure_kind::NotFound, oriole::failure_kind::Timeout, oriole::failure_kind::Unavailable);
+    const auto failFor = [&](int ms) {
+        for (int passed = 0; passed < ms; passed += 300) {
+            const auto done = fixture.record.polls.back().second;
+            done(oriole::notRun(kind, "no answer"));
+            fixture.advance(300);
+        }
     };
-    SECTION("connections are refused")
-    {
-        fail(oriole::failure_kind::NotFound);
-        CHECK_FALSE(fixture.link->reports.back().gone);
-        fail(oriole::failure_kind::NotFound);
-        CHECK(fixture.link->reports.back().gone);
-    }
-    SECTION("polls time out")
+    SECTION("an earlier process of the agent may have extended the lease until this one started") { }
+    SECTION("this process extended it with its last poll")
     {
-        for (int i = 0; i < 10; ++i)
-            fail(oriole::failure_kind::Timeout);
-        CHECK_FALSE(fixture.link->reports.back().responsive);
-        CHECK_FALSE(fixture.link->reports.back().gone);
-        for (int i = 0; i < 14; ++i)
-            fail(oriole::failure_kind::Timeout);
-        CHECK(fixture.link->reports.back().gone);
+        for (int i = 0; i < 20; ++i) {
+            fixture.advance(600);
+            fixture.answerPoll();
+        }
+        REQUIRE(fixture.record.polls.back().first.deadlineMs);
     }
+    failFor(6000);
+    CHECK_FALSE(fixture.link->reports.back().responsive);
+    CHECK_FALSE(fixture.link->reports.back().gone);
+    failFor(900);
+    CHECK(fixture.link->reports.back().gone);
+    for (std::size_t i = 1; i <= 10; ++i)
+        CHECK_FALSE(fixture.record.polls.at(fixture.record.polls.size() - i).first.deadlineMs);
 }
 
 // Guards against a second run beside the first: two refused connections in a row made the scheduler count all runs of a living
@@ -410,25 +422,53 @@
         const auto probe = fixture.record.polls.back().second;
         probe(poll_response { { {}, 1001 }, 5000, {}, {} });
     };
-    SECTION("at the same address") { propose(); }
-    SECTION("at another address, once the present one is gone")
+    const auto requireReplaced = [&] {
+        const auto list = fixture.record.polls.back();
+        CHECK(list.first.deadlineMs == 5000 + 6000);
+        list.second(poll_response { { {}, 1001 }, 5001, {}, {} });
+        CHECK(fixture.link->reports.back().worker == next.worker);
+        CHECK(fixture.link->reports.back().responsive);
+    };
+    SECTION("at the same address; what the earlier one ran may go on until its lease has expired")
+    {
+        propose();
+        requireReplaced();
+        CHECK(fixture.link->reports.back().othersMayRun);
+        fixture.advance(6300);
+        fixture.answerPoll();
+        CHECK_FALSE(fixture.link->reports.back().othersMayRun);
+    }
+    SECTION("at another address, once the lease of the present one has expired")
     {
         next.address = "127.0.0.1:2";
         propose();
-        CHECK(fixture.link->reports.back().worker.incarnation == fixture.heartbeat.worker.incarnation);
-        for (int i = 0; i < 2; ++i) {
+        auto unanswered = fixture.record.polls.at(fixture.record.polls.size() - 2).second;
+        for (int i = 0; i < 21; ++i) {
+            unanswered(oriole::notRun(oriole::failure_kind::NotFound, "connection refused"));
+            if (i == 18)
+                propose();
+            CHECK(fixture.link->reports.back().worker.incarnation == fixture.heartbeat.worker.incarnation);
             fixture.advance(300);
-            const auto done = fixture.record.polls.at(fixture.record.polls.size() - (i == 0 ? 2 : 1)).second;
-            done(oriole::notRun(oriole::failure_kind::NotFound, "connection refused"));
+            unanswered = fixture.record.polls.back().second;
         }
-        REQUIRE(fixture.link->reports.back().gone);
         propose();
+        requireReplaced();
+        CHECK_FALSE(fixture.link->reports.back().othersMayRun);
     }
-    const auto list = fixture.record.polls.back();
-    CHECK(list.first.deadlineMs == 5000 + 6000);
-    list.second(poll_response { { {}, 1001 }, 5001, {}, {} });
-    CHECK(fixture.link->reports.back().worker == next.worker);
-    CHECK(fixture.link->reports.back().responsive);
+}
+
+TEST_CASE("an incarnation that answers at another address keeps its runs and its ends", "[agent][incarnation]")
+{
+    agent_fixture fixture;
+    fixture.agent.acknowledge(5, fixture.heartbeat.worker.incarnation, 3);
+    fixture.heartbeat.address = "127.0.0.1:2";
+    ++fixture.heartbeat.sequence;
+    CHECK(fixture.agent.handleHeartbeat(fixture.heartbeat));
+    fixture.answerPoll({ { fixture.run, {}, 10 } });
+    CHECK(fixture.record.polls.back().first.acknowledgedUpTo == 3);
+    fixture.answerPoll({ { fixture.run, {}, 10 } });
+    CHECK(fixture.link->reports.back().active.size() == 1);
+    CHECK(fixture.start({ accepted }) == start_outcome::Accepted);
 }
 
 // Before it is attached, a restarted agent knows no epoch, and a worker that has seen one answers none of its polls.
--- a/tests/fleet_soak/fault_script.cpp
+++ b/tests/fleet_soak/fault_script.cpp
@@ -36,7 +36,7 @@
 std::vector<std::string> fault_script::allKinds()
 {
     return { "kill", "freeze", "terminate", "link", "held-orders", "crash", "worker", "store", "configuration", "evacuation",
-        "foreign-heartbeat", "delayed-heartbeat", "odd-record" };
+        "foreign-heartbeat", "delayed-heartbeat", "odd-record", "refusing-link", "other-worker" };
 }
 
 void fault_script::start(milliseconds period)
