--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -82,6 +82,7 @@
     worker_incarnation life;
     time_point startedAt;
     std::uint64_t confirmedByPoll = 0; ///< Number of the first poll that was sent after the worker confirmed the stop.
+    worker_incarnation confirmedBy; ///< The incarnation that confirmed it.
     std::function<void(stop_outcome)> done;
 };
 
@@ -410,6 +411,7 @@
     if (const auto known = stopOutcomeWithoutOrder(request->life))
         return request->done(*known);
     const auto runtime = m_runtime;
+    request->confirmedBy = m_worker.worker.incarnation;
     runtime->stop(request->run, request->epoch, [this, request, runtime, alive = m_alive](const result<bool>& answer) {
         if (!*alive)
             return;
@@ -435,9 +437,11 @@
     std::erase_if(m_stops, [&](const auto& request) {
         if (m_pollNumber < request->confirmedByPoll)
             return false;
-        const auto outcome = stopOutcomeOf(answer, request->run);
+        // The list of another incarnation does not show what became of the run.
+        const bool isListOfConfirming = request->confirmedBy == m_worker.worker.incarnation;
+        const auto outcome = isListOfConfirming ? stopOutcomeOf(answer, request->run) : stop_outcome::Unanswered;
         // Until the list is whole again, the run may be among the ends that it leaves out.
-        if (outcome == stop_outcome::Unanswered && m_clock() - request->startedAt <= stopTimeout)
+        if (isListOfConfirming && outcome == stop_outcome::Unanswered && m_clock() - request->startedAt <= stopTimeout)
             return false;
         completed.emplace_back(request, outcome);
         return true;
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -528,3 +528,30 @@
     order(2);
     CHECK(fixture.record.starts.size() == 1);
 }
+
+// The stop was confirmed by the earlier incarnation; the list of another one does not show that its run has ended.
+TEST_CASE("another incarnation's list does not complete a stop of an earlier one", "[agent][lost-worker]")
+{
+    agent_fixture fixture;
+    std::optional<stop_outcome> outcome;
+    fixture.agent.stop(5, fixture.heartbeat.worker.incarnation, fixture.run, [&](stop_outcome reported) { outcome = reported; });
+    REQUIRE(fixture.record.stops.size() == 1);
+    const auto confirm = fixture.record.stops.back().second;
+    const bool confirmedBefore = GENERATE(true, false);
+    if (confirmedBefore)
+        confirm(true);
+    REQUIRE_FALSE(outcome);
+    auto next = fixture.heartbeat;
+    next.worker.incarnation = { "i-next", 1001 };
+    ++next.sequence;
+    fixture.agent.handleHeartbeat(next);
+    const auto probe = fixture.record.polls.back().second;
+    probe(poll_response { { {}, 1001 }, 5000, {}, {} });
+    if (!confirmedBefore)
+        confirm(true);
+    const auto list = fixture.record.polls.back().second;
+    list(poll_response { { {}, 1001 }, 5001, {}, {} });
+    REQUIRE(fixture.link->reports.back().worker.incarnation == next.worker.incarnation);
+    REQUIRE(fixture.link->reports.back().othersMayRun);
+    CHECK(outcome != stop_outcome::Absent);
+}
