--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -231,7 +231,8 @@
 
 bool worker_agent::mayExtendLease() const
 {
-    return isPermitted() && m_workerClockMs > 0 && m_clock() - m_workerClockReadAt <= m_timing.maxClockAge;
+    // What was ordered before a report that the worker is gone counts as ended.
+    return isPermitted() && !m_report.gone && m_workerClockMs > 0 && m_clock() - m_workerClockReadAt <= m_timing.maxClockAge;
 }
 
 std::int64_t worker_agent::extendLease()
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -56,6 +56,19 @@
     bool answers = true;
 };
 
+/// @brief Lets the test answer each report.
+class slow_link final : public scheduler_link {
+public:
+    void report(const worker_report& report, std::function<void(bool)> answered) override
+    {
+        reports.push_back(report);
+        handlers.push_back(std::move(answered));
+    }
+
+    std::vector<worker_report> reports;
+    std::vector<std::function<void(bool)>> handlers;
+};
+
 struct agent_fixture {
     agent_fixture()
         : agent(
@@ -555,3 +568,28 @@
     REQUIRE(fixture.link->reports.back().othersMayRun);
     CHECK(outcome != stop_outcome::Absent);
 }
+
+// The scheduler ends all runs on such a report, also one whose order is under way.
+TEST_CASE("no start is accepted after a report that the worker is gone until it answers", "[agent][lost-worker]")
+{
+    agent_fixture fixture;
+    auto link = std::make_shared<slow_link>();
+    fixture.agent.attach({ 5, 1 }, link);
+    for (int i = 0; i < 40; ++i) {
+        fixture.answerPoll();
+        fixture.advance(300);
+    }
+    fixture.answerPoll();
+    REQUIRE(link->reports.back().responsive);
+    REQUIRE_FALSE(link->reports.back().gone);
+    const auto answered = link->handlers.back();
+    const auto poll = fixture.record.polls.back().second;
+    poll(oriole::notRun(oriole::failure_kind::NotFound, "connection refused"));
+    REQUIRE(link->reports.back().gone);
+    answered(true);
+    std::optional<start_outcome> outcome;
+    fixture.agent.start({ 5, 1 }, fixture.heartbeat.worker.incarnation, { fixture.run, "text", "" },
+        [&](start_outcome reported, const std::string&) { outcome = reported; });
+    CHECK(fixture.record.starts.empty());
+    CHECK(outcome == start_outcome::Refused);
+}
