--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -6,6 +6,7 @@
 #include <fleet/agent/incarnation_check.hpp>
 #include <fleet/agent/worker_heartbeat.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,11 +22,12 @@
     /// How long the lease may be extended, counted from the sending of the last report that the scheduler confirmed.
     milliseconds permission { 4000 };
     milliseconds lease { 6000 }; ///< Lease of all runs, counted from each poll; the worker may allow less.
+    milliseconds longestLease { 10'000 }; ///< The worker shortens longer leases to this.
 
     milliseconds maxClockAge { 4000 }; ///< An older reading of the worker's clock is not used for deadlines.
 
     /// @brief Upper bound of the time in which the worker's clock, which may run 2 % slow, advances by @p duration.
-    [[nodiscard]] static milliseconds longestDuration(milliseconds duration) { return duration + duration * 205 / 10'000; }
+    [[nodiscard]] static milliseconds longestDuration(milliseconds duration) { return duration + duration * 205 / 10'000 + milliseconds(1); }
     /// @brief Upper bound of a lease's duration on the agent's clock, counted from the sending of its deadline.
     [[nodiscard]] milliseconds maxLeaseDuration() const { return longestDuration(lease + maxClockAge) - maxClockAge; }
 };
@@ -105,11 +107,14 @@
     void poll(milliseconds wait);
     void handlePoll(const result<poll_response>& answer);
     void schedulePoll(milliseconds delay);
+    void reportWhenOthersHaveEnded();
+    failure handleRestart();
     void sendReport();
     void sendStart(start_order order, unsigned tries, std::function<void(start_outcome, std::string)> done);
     void sendStop(const std::shared_ptr<stop_request>& request);
     void completeStops(const poll_response& answer);
     [[nodiscard]] std::int64_t workerClock() const;
+    [[nodiscard]] time_point allLeasesEndAt() const { return std::max(m_leaseEndsAt, m_earlierClockLeaseEndsAt); }
     [[nodiscard]] bool mayExtendLease() const;
     /// @brief The deadline of a lease that lasts its full duration from now on.
     std::int64_t extendLease();
@@ -129,6 +134,8 @@
     time_point m_permittedUntil;
     /// Time after which the lease of everything on the worker, whatever its incarnation, has expired for certain.
     time_point m_leaseEndsAt;
+    /// The same of leases that a worker started again under its id has given by deadlines on its earlier clock.
+    time_point m_earlierClockLeaseEndsAt;
     time_point m_othersLeaseEndsAt; ///< The same for the runs of other incarnations than the present one.
     std::int64_t m_workerClockMs = 0; ///< The worker's clock at the last successful poll.
     time_point m_workerClockReadAt;
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -154,7 +154,7 @@
 bool worker_agent::mayReplace(const worker_heartbeat& successor) const
 {
     const bool isPresent = successor.worker.incarnation == m_worker.worker.incarnation;
-    return isPresent || successor.address == m_worker.address || m_clock() > m_leaseEndsAt;
+    return isPresent || successor.address == m_worker.address || m_clock() > allLeasesEndAt();
 }
 
 void worker_agent::handleConfirmed(
@@ -176,7 +176,8 @@
             { "lease_left_ms", leaseLeft().count() }, { "displaced_active", m_report.active.size() } });
     if (life != m_worker.worker.incarnation) {
         m_acknowledgedUpTo = 0;
-        m_othersLeaseEndsAt = m_leaseEndsAt;
+        m_othersLeaseEndsAt = life.instance == m_worker.worker.incarnation.instance ? m_leaseEndsAt : allLeasesEndAt();
+        reportWhenOthersHaveEnded();
     }
     m_runtime = runtime;
     m_worker = heartbeat;
@@ -221,7 +222,7 @@
 
 milliseconds worker_agent::leaseLeft() const
 {
-    return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(m_leaseEndsAt - m_clock()));
+    return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(allLeasesEndAt() - m_clock()));
 }
 
 std::int64_t worker_agent::workerClock() const
@@ -260,18 +261,25 @@
         m_polling = false;
         // A different start time means that the worker restarted; its next heartbeat describes the new incarnation.
         if (answer && answer.value().life.startedUnixMs != 0 && answer.value().life.startedUnixMs != m_worker.worker.incarnation.startedUnixMs)
-            answer = oriole::notRun(oriole::failure_kind::NotFound, "the worker was restarted");
+            answer = handleRestart();
         handlePoll(answer);
     });
 }
 
+/// The worker has carried out the poll under the same instance id, and with it a deadline on the clock of an earlier incarnation.
+failure worker_agent::handleRestart()
+{
+    m_earlierClockLeaseEndsAt = m_clock() + agent_timing::longestDuration(m_timing.longestLease);
+    return oriole::notRun(oriole::failure_kind::NotFound, "the worker was restarted");
+}
+
 void worker_agent::handlePoll(const result<poll_response>& answer)
 {
     if (!answer) {
         ++m_failedPolls;
         const bool refused = answer.error().kind == oriole::failure_kind::NotFound;
         // A refused connection or the answer of another incarnation may be due to the path to a worker that lives.
-        const bool gone = m_clock() > m_leaseEndsAt;
+        const bool gone = m_clock() > allLeasesEndAt();
         const bool unresponsive = refused || m_failedPolls >= maxFailedPolls;
         if (unresponsive && (m_report.responsive || gone != m_report.gone)) {
             oriole::logEvent(oriole::log_level::Warning, "worker_unresponsive",
@@ -310,6 +318,15 @@
     poll(m_report.active.empty() ? idlePollWait : pollWait);
 }
 
+void worker_agent::reportWhenOthersHaveEnded()
+{
+    const auto left = std::chrono::ceil<milliseconds>(m_othersLeaseEndsAt - m_clock()) + milliseconds(1);
+    m_timers.subscribeOnce(std::max(milliseconds(0), left), [this, alive = m_alive](time_point) {
+        if (*alive)
+            sendReport();
+    });
+}
+
 void worker_agent::schedulePoll(milliseconds delay)
 {
     m_timers.subscribeOnce(delay, [this, alive = m_alive](time_point) {
--- a/main/oriolefleetd/source/process_parts.cpp
+++ b/main/oriolefleetd/source/process_parts.cpp
@@ -9,6 +9,7 @@
 {
     fleet::agent_timing timing;
     timing.lease = std::min(timing.lease, settings.longestLease);
+    timing.longestLease = settings.longestLease;
     return timing;
 }
 
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -593,3 +593,36 @@
     CHECK(fixture.record.starts.empty());
     CHECK(outcome == start_outcome::Refused);
 }
+
+// A worker that is started again under its id counts its clock anew, so that a deadline of before exceeds every lease there:
+// the worker shortens it to the longest lease (10 s in one of the deployments).
+TEST_CASE("a deadline that reaches a restarted worker of the same id may last for the longest lease", "[agent][lost-worker]")
+{
+    constexpr int longestLease = 10'000;
+    agent_fixture fixture;
+    const auto answer = [&](std::int64_t born, std::int64_t clock) {
+        const auto done = fixture.record.polls.back().second;
+        done(poll_response { { {}, born }, clock, {}, {} });
+    };
+    const auto born = fixture.heartbeat.worker.incarnation.startedUnixMs;
+    answer(born, 500'000);
+    REQUIRE(fixture.record.polls.back().first.deadlineMs == 506'000);
+    const bool taken = GENERATE(false, true);
+    // The restarted worker has carried out the poll, and with it the deadline.
+    answer(born + 1, 5);
+    if (taken) {
+        ++fixture.heartbeat.worker.incarnation.startedUnixMs;
+        ++fixture.heartbeat.sequence;
+        fixture.agent.handleHeartbeat(fixture.heartbeat);
+        answer(born + 1, 6);
+        answer(born + 1, 7);
+        REQUIRE(fixture.link->reports.back().worker.incarnation.startedUnixMs == born + 1);
+    }
+    for (int passed = 0; passed < longestLease - 300; passed += 300) {
+        const auto done = fixture.record.polls.back().second;
+        done(oriole::notRun(oriole::failure_kind::NotFound, "connection refused"));
+        fixture.advance(300);
+    }
+    for (const auto& report : fixture.link->reports)
+        CHECK_FALSE(report.gone);
+}
