--- a/lib/libfleet/source/core/job_progress.cpp
+++ b/lib/libfleet/source/core/job_progress.cpp
@@ -81,7 +81,9 @@
 
     auto& step = progress.occurrences[run.task.occurrence].steps[run.task.step];
     const auto& rule = spec.steps[run.task.step];
-    if (task->status != task_status::Live)
+    // The end of a run that counted as lost is as good as one that was listed in time, unless the task was started again.
+    const bool endedAfterLoss = task->status == task_status::Waiting && how == run_outcome::Done && !rule.lasting;
+    if (task->status != task_status::Live && !endedAfterLoss)
         return false;
 
     auto& recordingTask = rule.gang ? step.front() : *task;
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -141,7 +141,9 @@
 
     for (const auto& ended : report.ended) {
         const auto run = m_state.runs.find(ended.run);
-        if (run != m_state.runs.end() && run->second.worker == worker)
+        if (run == m_state.runs.end())
+            applyEndAfterLoss(ended, now);
+        else if (run->second.worker == worker)
             finishRun(ended.run, ended.outcome, ended.checkpoint, now);
     }
     if (report.gone)
@@ -153,6 +155,18 @@
     stopMissingRuns(worker, report, now);
 }
 
+void scheduler_core::applyEndAfterLoss(const ended_run& ended, time_point now)
+{
+    const auto job = m_state.jobs.find(ended.run.task.job);
+    if (ended.outcome != run_outcome::Done || job == m_state.jobs.end())
+        return;
+    auto& row = job->second;
+    if (applyEnd(row.progress, row.job.spec, ended.run, ended.outcome, ended.checkpoint, row.rule.maxAttempts)) {
+        row.readySince = now;
+        m_changed.insert(job->first);
+    }
+}
+
 void scheduler_core::applyActiveRuns(const std::string& worker, const worker_report& report, time_point now)
 {
     for (const auto& active : report.active) {
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -141,6 +141,40 @@
     }
 }
 
+// Guards against a start after an end as done that was acknowledged: the end of a run that counted as lost was ignored.
+TEST_CASE("a task whose lost run is listed as done is not started again", "[core][lost-worker]")
+{
+    core_fixture fixture;
+    const bool isGang = GENERATE(false, true);
+    auto only = step(1, 2);
+    only.gang = isGang;
+    fixture.report("w1", workerReport("r1"));
+    fixture.add(job("a", "batch", { only }));
+    REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 1);
+    fixture.core.markWorkerLost("w1", fixture.now);
+    const run_id first { { "a", 0, 0, 0 }, 1 };
+    SECTION("before its next attempt was placed")
+    {
+        fixture.core.takeChangedJobs();
+        fixture.end("w1", workerReport("r1"), first, run_outcome::Done);
+        CHECK(fixture.core.takeChangedJobs().contains("a"));
+        CHECK(fixture.decide().empty());
+        CHECK(fixture.core.findJob("a")->progress.state == job_state::Completed);
+    }
+    SECTION("after that the next attempt goes on")
+    {
+        REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 1);
+        fixture.end("w1", workerReport("r1"), first, run_outcome::Done);
+        CHECK(fixture.core.findJob("a")->progress.state == job_state::Running);
+        CHECK(fixture.core.state().runs.size() == 1);
+    }
+    SECTION("another outcome changes nothing")
+    {
+        fixture.end("w1", workerReport("r1"), first, run_outcome::Stopped);
+        CHECK(core_fixture::only<start_effect>(fixture.decide()).size() == 1);
+    }
+}
+
 // Each holder of the record stopped what the one before it had recorded and not ordered, and placed it anew. Holders that
 // changed every 2 s never got to the orders.
 TEST_CASE("after a take-over a gang that was recorded and not ordered starts as a whole", "[core][take-over][gang]")
