A report on a replaced connection is answered with an error

Callers: none seen. An agent whose connection had been replaced could take its report as answered and extend its permission and the leases of its runs, while the scheduler's bound for the loss of its worker did not count that report: a task could start again beside a run that lives. Cause: report_service answered every report of a valid epoch; agent_directory dropped it when the connection was no longer the present one, which lives on in the continuation of an unanswered attach. Change: the handler tells whether the report was taken; one that was not is answered with an error.

--- a/lib/libfleet/include/fleet/scheduler/agent_directory.hpp
+++ b/lib/libfleet/include/fleet/scheduler/agent_directory.hpp
@@ -62,7 +62,8 @@
     void attach(const std::string& agent, const std::shared_ptr<link>& connection);
     void reconnectLater(const std::string& agent);
     void disconnected(const std::string& agent, const std::shared_ptr<link>& connection, const std::string& reason);
-    void reported(const std::string& agent, const std::shared_ptr<link>& connection, const worker_report& report);
+    /// @brief Returns false if @p connection was replaced: the report then counts for nothing.
+    bool reported(const std::string& agent, const std::shared_ptr<link>& connection, const worker_report& report);
 
     struct agent_state {
         std::string address;
--- a/lib/libfleet/source/scheduler/agent_directory.cpp
+++ b/lib/libfleet/source/scheduler/agent_directory.cpp
@@ -47,7 +47,8 @@
 /// @brief Receives the reports of one agent.
 class report_service final : public rpc::Scheduler::Server {
 public:
-    using handler = std::function<void(const worker_report&)>;
+    /// @brief Returns whether the report was taken.
+    using handler = std::function<bool(const worker_report&)>;
 
     report_service(std::function<bool()> isEpochValid, handler reported)
         : m_isEpochValid(std::move(isEpochValid))
@@ -59,7 +60,9 @@
     {
         if (!m_isEpochValid())
             return KJ_EXCEPTION(FAILED, "this scheduler may have been replaced");
-        m_reported(readReport(context.getParams().getReport()));
+        // The agent extends its leases on an answered report, so one that does not count here must not be answered.
+        if (!m_reported(readReport(context.getParams().getReport())))
+            return KJ_EXCEPTION(FAILED, "this connection was replaced");
         return kj::READY_NOW;
     }
 
@@ -156,8 +159,8 @@
     request.setAttachment(connection->number);
     request.setScheduler(kj::heap<report_service>(m_handlers.isEpochValid,
         [this, agent, weak = std::weak_ptr(connection), alive = m_alive](const worker_report& report) {
-            if (const auto held = weak.lock(); *alive && held != nullptr)
-                reported(agent, held, report);
+            const auto held = weak.lock();
+            return *alive && held != nullptr && reported(agent, held, report);
         }));
     auto attached = request.send().then(
         [this, agent, connection, alive = m_alive](capnp::Response<rpc::Agent::AttachResults> answer) {
@@ -203,12 +206,12 @@
     reconnectLater(agent);
 }
 
-void agent_directory::reported(
+bool agent_directory::reported(
     const std::string& agent, const std::shared_ptr<link>& connection, const worker_report& report)
 {
     auto& state = m_agents[agent];
     if (state.connection != connection)
-        return;
+        return false;
     if (!state.hasReported || state.lossNotified || state.failures > 0) {
         oriole::logEvent(oriole::log_level::Info, "agent_reports",
             { { "agent", agent }, { "instance", report.worker.incarnation.instance }, { "active", report.active.size() },
@@ -219,6 +222,7 @@
     state.lossNotified = false;
     state.failures = 0;
     m_handlers.reported(agent, report);
+    return true;
 }
 
 void agent_directory::check(time_point now)
--- a/tests/fleet/fleet_scheduler_test.cpp
+++ b/tests/fleet/fleet_scheduler_test.cpp
@@ -3,11 +3,15 @@
 
 #include <fleet/agent/agent_server.hpp>
 #include <fleet/records/job_codec.hpp>
+#include <fleet/rpc/convert.hpp>
+#include <fleet/rpc/streams.hpp>
 #include <fleet/scheduler/fleet_scheduler.hpp>
 
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <optional>
+#include <vector>
 
 using namespace fleet;
 using namespace fleet::test;
@@ -198,3 +202,63 @@
     CHECK(reports["left"] == 0);
     CHECK(directory.connected() == 1);
 }
+
+namespace {
+
+/// @brief Keeps the schedulers that attach and answers none of them, so that the scheduler's call stays open.
+class unanswering_agent final : public rpc::Agent::Server {
+public:
+    explicit unanswering_agent(std::vector<rpc::Scheduler::Client>& attached)
+        : m_attached(attached)
+    {
+    }
+
+    kj::Promise<void> attach(AttachContext context) override
+    {
+        m_attached.push_back(context.getParams().getScheduler());
+        return kj::Promise<void>(kj::NEVER_DONE);
+    }
+
+private:
+    std::vector<rpc::Scheduler::Client>& m_attached;
+};
+
+} // namespace
+
+// An agent takes an answered report as permission to extend the leases of its runs. The scheduler counts a worker as lost a
+// fixed time after the last report that it has taken, so it may answer no other.
+TEST_CASE("a report on a replaced connection is neither taken nor answered as taken", "[scheduler][members]")
+{
+    constexpr auto otherAddress = "127.0.0.1:28442";
+    oriole::event_loop loop;
+    std::vector<rpc::Scheduler::Client> attached;
+    std::vector<rpc::Scheduler::Client> attachedLater;
+    const rpc_listener first(loop, agentAddress, kj::heap<unanswering_agent>(attached));
+    const rpc_listener second(loop, otherAddress, kj::heap<unanswering_agent>(attachedLater));
+    unsigned taken = 0;
+    agent_directory directory(loop, epoch, {},
+        { [&](const std::string&, const worker_report&) { ++taken; }, [](const std::string&) {}, [](const std::string&) {},
+            [] { return true; } });
+    const auto pass = [&] { loop.after(milliseconds(100)).wait(loop.io().waitScope); };
+    const auto report = [&](rpc::Scheduler::Client& scheduler) {
+        auto request = scheduler.reportRequest();
+        writeReport(request.initReport(), workerReport("r1"));
+        std::optional<bool> answered;
+        auto sent = request.send().ignoreResult().then([&] { answered = true; }, [&](kj::Exception&&) { answered = false; }).eagerlyEvaluate(nullptr);
+        pass();
+        return answered;
+    };
+    directory.announce("w1", agentAddress);
+    pass();
+    REQUIRE(attached.size() == 1);
+    CHECK(report(attached[0]) == true);
+    CHECK(taken == 1);
+
+    directory.announce("w1", otherAddress);
+    pass();
+    REQUIRE(attachedLater.size() == 1);
+    CHECK(report(attached[0]) == false);
+    CHECK(taken == 1);
+    CHECK(report(attachedLater[0]) == true);
+    CHECK(taken == 2);
+}
