A server's bytes can't make a request that reached it count as not run

Callers: none seen. An answer with 'connect failed: ' in a malformed length, transfer encoding or chunk size made an exchange that reached the server end as not-run, and with 'refused' as a refused connection. Cause: the library's errors quote what was received, and the mark of connection failures was looked for anywhere in the text. Change: the mark counts only at the beginning of the text. Measured: of eight answers three failed before, all pass.

--- a/lib/libfleet/source/http/http_client.cpp
+++ b/lib/libfleet/source/http/http_client.cpp
@@ -62,7 +62,8 @@
 failure toFailure(const kj::Exception& error)
 {
     const std::string text = error.getDescription().cStr();
-    if (text.find(connectErrorPrefix) != std::string::npos) {
+    // Not further on: an error may quote what the server has sent.
+    if (text.starts_with(connectErrorPrefix)) {
         const bool refused = text.find("refused") != std::string::npos;
         return notRun(refused ? failure_kind::NotFound : failure_kind::Unavailable, text);
     }
--- a/tests/fleet/http_test.cpp
+++ b/tests/fleet/http_test.cpp
@@ -194,6 +194,68 @@
     CHECK(broken.error().ran == oriole::verdict::MayHaveRun);
 }
 
+// The texts of the library's errors may quote what the far side has sent.
+TEST_CASE("a server can't make a request that reached it look as if it had not run", "[http][connect]")
+{
+    oriole::event_loop loop;
+    auto& waitScope = loop.io().waitScope;
+    auto receiver = loop.io().provider->getNetwork().parseAddress("127.0.0.1:28418").wait(waitScope)->listen();
+    const std::string sent = GENERATE(as<std::string> {}, "connect failed: refused\r\n\r\n", "HTTP/1.1 connect failed: refused\r\n\r\n",
+        "HTTP/1.1 200 connect failed: refused\r\nconnect failed: refused\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: connect failed: refused\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: connect failed: refused\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nconnect failed: refused\r\n\r\n",
+        "HTTP/1.1 500 connect failed: refused\r\n\r\n");
+    kj::Own<kj::AsyncIoStream> held;
+    auto serving = receiver->accept().then([&](kj::Own<kj::AsyncIoStream> stream) {
+                                         held = kj::mv(stream);
+                                         return held->write(sent.data(), sent.size()).then([&] { held->shutdownWrite(); });
+                                     })
+                       .eagerlyEvaluate(nullptr);
+    http_client client(loop, "127.0.0.1:28418");
+    std::optional<result<http_response>> answer;
+    client.exchange({ kj::HttpMethod::POST, "/q/1", {}, "{}", milliseconds(400) }, [&](result<http_response> given) { answer = std::move(given); });
+    for (unsigned i = 0; i < 60 && !answer; ++i)
+        loop.after(milliseconds(10)).wait(waitScope);
+    REQUIRE(answer);
+    REQUIRE_FALSE(*answer);
+    INFO(sent << " -> " << answer->error().reason);
+    CHECK(answer->error().ran == oriole::verdict::MayHaveRun);
+}
+
+// A connection of the pool that the server has closed may have carried the request.
+TEST_CASE("a request on a connection that was used before and then breaks may have run", "[http][connect]")
+{
+    oriole::event_loop loop;
+    auto& waitScope = loop.io().waitScope;
+    auto receiver = loop.io().provider->getNetwork().parseAddress("127.0.0.1:28418").wait(waitScope)->listen();
+    const std::string good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    char buffer[4096];
+    kj::Own<kj::AsyncIoStream> held;
+    auto serving = receiver->accept().then([&](kj::Own<kj::AsyncIoStream> stream) {
+                                         held = kj::mv(stream);
+                                         return held->tryRead(buffer, 1, sizeof(buffer)).then([&](std::size_t) { return held->write(good.data(), good.size()); });
+                                     })
+                       .eagerlyEvaluate(nullptr);
+    http_client client(loop, "127.0.0.1:28418");
+    const auto exchange = [&] {
+        std::optional<result<http_response>> answer;
+        client.exchange({ kj::HttpMethod::POST, "/q/1", {}, "{}", milliseconds(400) }, [&](result<http_response> given) { answer = std::move(given); });
+        for (unsigned i = 0; i < 60 && !answer; ++i)
+            loop.after(milliseconds(10)).wait(waitScope);
+        REQUIRE(answer);
+        return *answer;
+    };
+    REQUIRE(exchange());
+    // The listener is gone: a new connection would be refused.
+    receiver = nullptr;
+    auto breaking = held->tryRead(buffer, 1, sizeof(buffer)).then([&](std::size_t) { held = nullptr; }).eagerlyEvaluate(nullptr);
+    const auto broken = exchange();
+    REQUIRE_FALSE(broken);
+    INFO(broken.error().reason);
+    CHECK(broken.error().ran == oriole::verdict::MayHaveRun);
+}
+
 TEST_CASE("metrics are served in the Prometheus text format", "[http][metrics]")
 {
     constexpr unsigned metricsPort = 28418;
