What may run on an earlier incarnation takes no room on the present one

Callers waited: after a crash of a worker its next incarnation got no work until the lease of the earlier one had expired, since runs that were recorded for it still counted against its capacity. Cause: since such runs stay in the tables until then. Change: when a worker's incarnation has another instance id, runs of earlier ones take nothing from it; under the same id, which a late order may reach, they still do. If the earlier incarnation is present again, its runs take their room again.

--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -145,6 +145,7 @@
     void endRunsOfOtherIncarnations(const worker_row& worker, const worker_report& report, time_point now);
     [[nodiscard]] std::vector<run_id> runsOfOtherIncarnations(const worker_row& worker, const worker_incarnation& life) const;
     void updateFaultScore(const live_run& run, run_outcome how, time_point now);
+    void assignRoom(const worker_row& worker, const worker_incarnation& present);
     void applyEndAfterLoss(const ended_run& ended, time_point now);
     void applyActiveRuns(const std::string& worker, const worker_report& report, time_point now);
     void stopMissingRuns(const std::string& worker, const worker_report& report, time_point now);
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -80,7 +80,7 @@
     worker_row* host = nullptr;
     std::string worker;
     worker_incarnation life;
-    resources need;
+    resources need; ///< What it takes from its worker; nothing if it runs on an incarnation that another one has replaced.
     run_phase phase = run_phase::Placed;
     double expectedMs = 0; ///< Total run time, as estimated when the run was placed.
     double spread = 1; ///< Factor by which its run time grows away from its data or from the rest of its gang.
@@ -132,6 +132,9 @@
 /// @brief Adds a live run and takes its resources from its worker.
 live_run& addRun(tables& state, live_run run);
 
+/// @brief Changes what a live run takes from its worker.
+void setNeed(live_run& run, const resources& need);
+
 /// @brief Removes a live run and returns its resources to its worker.
 live_run removeRun(tables& state, std::map<run_id, live_run>::iterator run);
 
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -133,6 +133,7 @@
     if (row.description.incarnation != report.worker.incarnation) {
         row.faultScore = 0;
         row.drainDeadline.reset();
+        assignRoom(row, report.worker.incarnation);
     }
     row.description = report.worker;
     row.reachable = report.responsive;
@@ -155,6 +156,19 @@
     stopMissingRuns(worker, report, now);
 }
 
+/// What may still run on an earlier incarnation takes nothing from the present one, unless an order may reach the latter under
+/// the same id.
+void scheduler_core::assignRoom(const worker_row& worker, const worker_incarnation& present)
+{
+    for (const auto& id : worker.runs) {
+        auto& run = m_state.runs.at(id);
+        if (run.life.instance != present.instance)
+            setNeed(run, {});
+        else if (run.job != nullptr && id.task.step < run.job->job.spec.steps.size())
+            setNeed(run, run.job->job.spec.steps[id.task.step].held());
+    }
+}
+
 void scheduler_core::applyEndAfterLoss(const ended_run& ended, time_point now)
 {
     const auto job = m_state.jobs.find(ended.run.task.job);
--- a/lib/libfleet/source/core/tables.cpp
+++ b/lib/libfleet/source/core/tables.cpp
@@ -44,6 +44,12 @@
     return state.runs.emplace(id, std::move(run)).first->second;
 }
 
+void setNeed(live_run& run, const resources& need)
+{
+    run.host->used += need - run.need;
+    run.need = need;
+}
+
 live_run removeRun(tables& state, std::map<run_id, live_run>::iterator run)
 {
     auto removed = std::move(run->second);
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -141,6 +141,40 @@
     }
 }
 
+TEST_CASE("runs that may go on on an earlier incarnation take no room on the present one", "[core][lost-worker]")
+{
+    core_fixture fixture;
+    fixture.report("w1", workerReport("r1"));
+    fixture.add(job("a", "batch", { step(1, 8) }));
+    REQUIRE(core_fixture::only<start_effect>(fixture.decide()).size() == 1);
+    fixture.add(job("b", "batch", { step(1, 8) }));
+    REQUIRE(fixture.decide().empty());
+    auto later = workerReport("r1", 8, "another");
+    later.othersMayRun = true;
+    fixture.core.applyReport("w1", later, fixture.now);
+    const auto starts = core_fixture::only<start_effect>(fixture.decide());
+    REQUIRE(starts.size() == 1);
+    CHECK(starts[0].run.task.job == "b");
+    CHECK(fixture.core.state().runs.size() == 2);
+    SECTION("the run is lost once its lease has expired")
+    {
+        later.othersMayRun = false;
+        later.active.push_back({ starts[0].run, {}, 5 });
+        fixture.core.applyReport("w1", later, fixture.now);
+        REQUIRE(fixture.core.state().runs.size() == 1);
+        CHECK(fixture.core.state().workers.at("w1").used.accelerators == 8);
+    }
+    SECTION("the earlier incarnation is present again: its run takes its room again")
+    {
+        auto earlier = workerReport("r1");
+        earlier.othersMayRun = true;
+        earlier.active.push_back({ { { "a", 0, 0, 0 }, 1 }, {}, 5 });
+        fixture.core.applyReport("w1", earlier, fixture.now);
+        CHECK(fixture.core.state().workers.at("w1").used.accelerators == 8);
+        CHECK(fixture.core.state().runs.at({ { "a", 0, 0, 0 }, 1 }).need.accelerators == 8);
+    }
+}
+
 // Guards against a start after an end as done that was acknowledged: the end of a run that counted as lost was ignored.
 TEST_CASE("a task whose lost run is listed as done is not started again", "[core][lost-worker]")
 {
