Leases last 4 s instead of 6 s

Callers waited up to 6.2 s for work of a worker that had crashed, since also where its connections are refused or its next incarnation answers. Cause: only a lapsed lease shows that such runs have ended, so the lease bounds the wait. Change: agents give leases of 4 s. A restarted agent has to be back within it; without a scheduler runs go on for 8 s instead of 10 s. The scheduler's bound for a silent agent falls from 10.5 to 8.5 s with it.

--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -21,7 +21,9 @@
 struct agent_timing {
     /// How long the lease may be extended, counted from the sending of the last report that the scheduler confirmed.
     milliseconds permission { 4000 };
-    milliseconds lease { 6000 }; ///< Lease of all runs, counted from each poll; the worker may allow less.
+    /// Lease of all runs, counted from each poll; the worker may allow less. Work on a worker that has crashed waits for its end, and
+    /// a restarted agent has to be back before it.
+    milliseconds lease { 4000 };
     milliseconds longestLease { 10'000 }; ///< The worker shortens longer leases to this.
 
     milliseconds maxClockAge { 4000 }; ///< An older reading of the worker's clock is not used for deadlines.
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr int leaseMs = 4000;
+
 /// @brief Calls that the agent made to its worker's runtime, with the handlers through which the test responds.
 struct runtime_record {
     std::vector<std::pair<start_order, backend_runtime::handler<start_response>>> starts;
@@ -299,7 +301,7 @@
     };
     stopEarlierRun();
     CHECK(outcome == stop_outcome::Unanswered);
-    fixture.advance(6300);
+    fixture.advance(leaseMs + 300);
     stopEarlierRun();
     REQUIRE(fixture.record.stops.size() == 1);
     fixture.record.stops.back().second(true);
@@ -327,7 +329,7 @@
         }
         REQUIRE(fixture.record.polls.back().first.deadlineMs);
     }
-    failFor(6000);
+    failFor(leaseMs);
     CHECK_FALSE(fixture.link->reports.back().responsive);
     CHECK_FALSE(fixture.link->reports.back().gone);
     failFor(900);
@@ -437,7 +439,7 @@
     };
     const auto requireReplaced = [&] {
         const auto list = fixture.record.polls.back();
-        CHECK(list.first.deadlineMs == 5000 + 6000);
+        CHECK(list.first.deadlineMs == 5000 + leaseMs);
         list.second(poll_response { { {}, 1001 }, 5001, {}, {} });
         CHECK(fixture.link->reports.back().worker == next.worker);
         CHECK(fixture.link->reports.back().responsive);
@@ -447,7 +449,7 @@
         propose();
         requireReplaced();
         CHECK(fixture.link->reports.back().othersMayRun);
-        fixture.advance(6300);
+        fixture.advance(leaseMs + 300);
         fixture.answerPoll();
         CHECK_FALSE(fixture.link->reports.back().othersMayRun);
     }
@@ -456,9 +458,9 @@
         next.address = "127.0.0.1:2";
         propose();
         auto unanswered = fixture.record.polls.at(fixture.record.polls.size() - 2).second;
-        for (int i = 0; i < 21; ++i) {
+        for (int i = 0; i <= leaseMs / 300; ++i) {
             unanswered(oriole::notRun(oriole::failure_kind::NotFound, "connection refused"));
-            if (i == 18)
+            if (i == leaseMs / 300 - 2)
                 propose();
             CHECK(fixture.link->reports.back().worker.incarnation == fixture.heartbeat.worker.incarnation);
             fixture.advance(300);
@@ -606,7 +608,7 @@
     };
     const auto born = fixture.heartbeat.worker.incarnation.startedUnixMs;
     answer(born, 500'000);
-    REQUIRE(fixture.record.polls.back().first.deadlineMs == 506'000);
+    REQUIRE(fixture.record.polls.back().first.deadlineMs == 500'000 + leaseMs);
     const bool taken = GENERATE(false, true);
     // The restarted worker has carried out the poll, and with it the deadline.
     answer(born + 1, 5);
