--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -104,6 +104,7 @@
     void handleConfirmed(
         const worker_heartbeat& heartbeat, const std::shared_ptr<backend_runtime>& runtime, const poll_response& answer);
     [[nodiscard]] bool mayReplace(const worker_heartbeat& successor) const;
+    /// @brief Whether the lease of everything on other incarnations than the present one has expired.
     [[nodiscard]] bool haveOthersEnded() const { return m_clock() > m_othersLeaseEndsAt; }
     [[nodiscard]] std::optional<stop_outcome> stopOutcomeWithoutOrder(const worker_incarnation& life) const;
     void poll(milliseconds wait);
@@ -134,9 +135,10 @@
     std::shared_ptr<scheduler_link> m_link;
     attachment_id m_attachment;
     time_point m_permittedUntil;
-    /// Time after which the lease of everything on the worker, whatever its incarnation, has expired for certain.
+    /// Time after which the lease of everything on the worker, whatever its incarnation, has expired for certain, unless a
+    /// deadline was carried out on another clock than it was computed for.
     time_point m_leaseEndsAt;
-    /// The same of leases that a worker started again under its id has given by deadlines on its earlier clock.
+    /// The same of a worker that was started again under its id and has carried out a deadline of its earlier clock.
     time_point m_earlierClockLeaseEndsAt;
     time_point m_othersLeaseEndsAt; ///< The same for the runs of other incarnations than the present one.
     std::int64_t m_workerClockMs = 0; ///< The worker's clock at the last successful poll.
