A worker that answers under another start time is gone once every lease has expired (LOST)

Found when reading the change again. Callers would have seen a task that never runs again: its worker was started again under its id and answered polls, while none of its heartbeats reached the agent. Change: an answer moves the bound only if a deadline has been sent since the one before.

--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -140,6 +140,7 @@
     time_point m_leaseEndsAt;
     /// The same of a worker that was started again under its id and has carried out a deadline of its earlier clock.
     time_point m_earlierClockLeaseEndsAt;
+    bool m_deadlineSent = true; ///< Since the worker last answered under another start time, also by an earlier process of this agent.
     time_point m_othersLeaseEndsAt; ///< The same for the runs of other incarnations than the present one.
     std::int64_t m_workerClockMs = 0; ///< The worker's clock at the last successful poll.
     time_point m_workerClockReadAt;
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -239,6 +239,7 @@
 std::int64_t worker_agent::extendLease()
 {
     const auto deadlineMs = workerClock() + m_timing.lease.count();
+    m_deadlineSent = true;
     // The worker read its clock before the answer arrived, so the deadline passes no later than this.
     m_leaseEndsAt = std::max(
         m_leaseEndsAt, m_workerClockReadAt + agent_timing::longestDuration(milliseconds(deadlineMs - m_workerClockMs)));
@@ -266,10 +267,11 @@
     });
 }
 
-/// The worker has carried out the poll under the same instance id, and with it a deadline on the clock of an earlier incarnation.
+/// The worker answers under the same instance id, so it may have carried out a deadline on the clock of an earlier incarnation.
 failure worker_agent::handleRestart()
 {
-    m_earlierClockLeaseEndsAt = m_clock() + agent_timing::longestDuration(m_timing.longestLease);
+    if (std::exchange(m_deadlineSent, false))
+        m_earlierClockLeaseEndsAt = m_clock() + agent_timing::longestDuration(m_timing.longestLease);
     return oriole::notRun(oriole::failure_kind::NotFound, "the worker was restarted");
 }
 
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -628,3 +628,19 @@
     for (const auto& report : fixture.link->reports)
         CHECK_FALSE(report.gone);
 }
+
+// Guards against runs that stay in the scheduler's tables for good: each answer moved the end of the lease.
+TEST_CASE("a worker that answers under another start time and sends no heartbeat is gone once every lease has expired", "[agent][lost-worker]")
+{
+    constexpr int longestLeaseMs = 10'000;
+    constexpr int marginMs = 600;
+    agent_fixture fixture;
+    for (int passed = 0; passed < longestLeaseMs + marginMs; passed += 300) {
+        const auto done = fixture.record.polls.back().second;
+        done(poll_response { { {}, 7 }, 1000, {}, {} });
+        fixture.advance(300);
+        if (passed < longestLeaseMs - marginMs)
+            CHECK_FALSE(fixture.link->reports.back().gone);
+    }
+    CHECK(fixture.link->reports.back().gone);
+}
