Test: a worker is reported as gone before an incarnation at another address replaces it

Cause: rewrote this section, which had required the report of gone, and did not require it any more. Change: the requirement is back, after the lease has expired. The doc of run_loss::wasActive says that a run with a stop under way counts as not active.

--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -85,7 +85,7 @@
     std::string worker;
     worker_incarnation life;
     loss_reason reason = loss_reason::LeaseExpired;
-    bool wasActive = false; ///< Whether the worker had accepted or reported it.
+    bool wasActive = false; ///< Whether the worker had accepted or reported it, and no stop had been decided.
     milliseconds sincePlaced { 0 };
     milliseconds sinceReported { 0 }; ///< Since its progress was last reported; of a run never reported, since it was placed.
 };
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -466,6 +466,8 @@
             fixture.advance(300);
             unanswered = fixture.record.polls.back().second;
         }
+        unanswered(oriole::notRun(oriole::failure_kind::NotFound, "connection refused"));
+        REQUIRE(fixture.link->reports.back().gone);
         propose();
         requireReplaced();
         CHECK_FALSE(fixture.link->reports.back().othersMayRun);
