Scheduling limits follow from the platform's bounds

Cause: of the bounds in the settings only holdMaxMs, gangTimeoutMs, graceS and spreadFactor were read. The others stood as constants that fit the first deployments, so a stop that may take 900 ms counted as overdue after 600 ms, and a run with checkpoints was stopped 900 ms before the end of a drain.

Change: platform_bounds holds what the settings say, decision_limits what follows from it; an unusable bound is logged and has its default. Expected run times go through estimatedRunTime, which still returns the declared time.

--- a/lib/libfleet/include/fleet/core/eviction.hpp
+++ b/lib/libfleet/include/fleet/core/eviction.hpp
@@ -10,14 +10,6 @@
 
 namespace fleet {
 
-/// @brief A run that ends within this time is not evicted: stopping it and receiving the report of its end would take half
-/// of this time.
-constexpr milliseconds nearEndLimit { 700 };
-
-/// @brief A stop whose end is not reported within this time may be held up, so the run's resources are not counted on.
-/// A run ends within 200 ms of its stop; a status poll of the worker and two messages are added.
-constexpr milliseconds stopTimeout { 600 };
-
 /// @brief How far a unit may displace other runs.
 enum class reclaim_right {
     None, ///< Runs of lower priority.
@@ -58,10 +50,10 @@
 std::set<std::string> findGuaranteedJobs(const tables& state);
 
 /// @brief Core-seconds of work that are lost when the run is stopped at @p now.
-double lostWorkOf(const live_run& run, time_point now);
+double lostWorkOf(const tables& state, const live_run& run, time_point now);
 
 /// @brief Whether the run was stopped and its end is not overdue.
-bool isStopExpected(const live_run& run, time_point now);
+bool isStopExpected(const tables& state, const live_run& run, time_point now);
 
 /// @brief Time until the run is expected to free its resources. The members of a gang free theirs together.
 milliseconds releaseTimeOf(const tables& state, const live_run& run);
--- a/lib/libfleet/include/fleet/core/objective.hpp
+++ b/lib/libfleet/include/fleet/core/objective.hpp
@@ -20,6 +20,16 @@
 /// @brief Estimated core-seconds of all tasks, with accelerators converted to cores.
 double workOf(const job_spec& spec);
 
+/// @brief Expected run time of a task of the step, near its data.
+milliseconds estimatedRunTime(const job_row& job, unsigned step);
+
+/// @brief As criticalPathFrom and objectiveOf by job_spec, with the expected run times.
+milliseconds criticalPathFrom(const job_row& job, unsigned step);
+milliseconds objectiveOf(const job_row& job);
+
+/// @brief Expected core-seconds of all tasks, with accelerators converted to cores.
+double workOf(const job_row& job);
+
 /// @brief State of a job's completion objective.
 enum class deadline_status {
     InTime, ///< The objective can still be met.
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -91,8 +91,7 @@
 };
 
 struct core_settings {
-    double spreadFactor = 3; ///< Slow-down of a task away from its data, as specified by the platform.
-    milliseconds gangTimeout { 3000 }; ///< How long gang members wait for each other, as specified by the platform.
+    platform_bounds bounds;
 };
 
 class scheduler_core {
@@ -100,6 +99,8 @@
     explicit scheduler_core(core_settings settings);
 
     void configure(configuration rules);
+    /// @brief Replaces the limits of all decisions from now on.
+    void setBounds(const platform_bounds& bounds);
     void setDomainsOut(std::set<std::string> domains);
 
     /// @brief Adds a new or restored job; no effect if the job is already known.
@@ -183,7 +184,6 @@
     [[nodiscard]] placement_request requestFor(const job_row& job, const unit_id& unit, time_point now) const;
     [[nodiscard]] bool canRestartElsewhere(const live_run& run, time_point now) const;
 
-    core_settings m_settings;
     tables m_state;
     time_point m_decidedAt;
     std::optional<std::vector<expected_release>> m_releases; ///< Of the present decision, until a run is stopped.
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -2,6 +2,7 @@
 /// @brief State of the scheduler: workers, jobs, live runs and reservations.
 #pragma once
 
+#include <fleet/core/decision_limits.hpp>
 #include <fleet/core/job_progress.hpp>
 #include <fleet/model/configuration.hpp>
 
@@ -121,6 +122,7 @@
     std::set<std::string> domainsOut;
     std::set<std::string> guaranteedJobs; ///< Unfinished priority-0 jobs that fit into the guarantee of their organisation.
     configuration rules;
+    decision_limits limits = deriveLimits({});
 };
 
 /// @brief Rules of a job's queue. If the queue was removed, rules with the lowest priority are returned.
--- a/lib/libfleet/include/fleet/entry/fleet_entry.hpp
+++ b/lib/libfleet/include/fleet/entry/fleet_entry.hpp
@@ -41,6 +41,9 @@
     /// @brief Passes a changed control view on to the scheduler.
     void controlChanged();
 
+    /// @brief Replaces the platform's bounds, also those of a running scheduler.
+    void setBounds(const platform_bounds& bounds);
+
     /// @brief Records the address of an agent that can't write it into the store itself.
     void announce(const std::string& agent, const std::string& address);
 
--- a/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
+++ b/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
@@ -42,6 +42,7 @@
 
     void start(configuration rules, std::set<std::string> domainsOut);
     void configure(configuration rules);
+    void setBounds(const platform_bounds& bounds);
     void setDomainsOut(std::set<std::string> domains);
 
     /// @brief Adds an agent or updates its address.
--- a/lib/libfleet/source/core/eviction.cpp
+++ b/lib/libfleet/source/core/eviction.cpp
@@ -9,15 +9,12 @@
 
 namespace {
 
-// A stop and a restart cost about this much run time even if all work is saved in a checkpoint.
-constexpr double restartCostSeconds = 0.8;
-
 // A unit that was evicted this many times is evicted again only to reclaim a guarantee; this prevents its starvation.
 constexpr unsigned maxEvictions = 2;
 
 bool endsSoon(const tables& state, const live_run& run)
 {
-    return run.phase == run_phase::Active && run.ratePercent > 0 && releaseTimeOf(state, run) <= nearEndLimit;
+    return run.phase == run_phase::Active && run.ratePercent > 0 && releaseTimeOf(state, run) <= state.limits.nearEnd;
 }
 
 bool isAwaited(const tables& state, const live_run& run, reclaim_right right)
@@ -117,7 +114,7 @@
     found.byWorker.resize(state.workers.size());
     found.expectedFree.resize(state.workers.size());
     for (const auto& [id, run] : state.runs) {
-        if (isStopExpected(run, now) || isAwaited(state, run, right))
+        if (isStopExpected(state, run, now) || isAwaited(state, run, right))
             found.expectedFree[run.host->slot] += run.need;
         if (run.job == nullptr || run.phase == run_phase::Stopping || !mayEvict(state, *run.job, priority, right))
             continue;
@@ -130,7 +127,7 @@
         if (found.victims.empty() || found.victims.back().unit != unit)
             found.victims.push_back({ unit, 0, {} });
         auto& entry = found.victims.back();
-        entry.cost += lostWorkOf(run, now) * (1 + evictions);
+        entry.cost += lostWorkOf(state, run, now) * (1 + evictions);
         const auto slot = run.host->slot;
         const auto known = std::find_if(entry.freed.begin(), entry.freed.end(), [slot](const auto& part) { return part.first == slot; });
         if (known != entry.freed.end())
@@ -204,9 +201,9 @@
     return guaranteed;
 }
 
-bool isStopExpected(const live_run& run, time_point now)
+bool isStopExpected(const tables& state, const live_run& run, time_point now)
 {
-    return run.phase == run_phase::Stopping && now - run.stoppedAt <= stopTimeout;
+    return run.phase == run_phase::Stopping && now - run.stoppedAt <= state.limits.stopTimeout;
 }
 
 milliseconds releaseTimeOf(const tables& state, const live_run& run)
@@ -232,7 +229,7 @@
         if (!sharesTime)
             time = releaseTimeOf(state, run);
         previous = &run;
-        if (isStopExpected(run, now))
+        if (isStopExpected(state, run, now))
             releases.push_back({ run.host->slot, run.need, true, time });
         else if (run.phase == run_phase::Active)
             releases.push_back({ run.host->slot, run.need, false, time });
@@ -248,11 +245,11 @@
     return milliseconds(static_cast<std::int64_t>(run.expectedMs * left));
 }
 
-double lostWorkOf(const live_run& run, time_point now)
+double lostWorkOf(const tables& state, const live_run& run, time_point now)
 {
     const bool savesCheckpoints = run.job != nullptr && run.job->job.spec.steps[run.id.task.step].checkpointing;
     const auto since = savesCheckpoints && !run.checkpoint.empty() ? std::max(run.checkpointAt, run.placedAt) : run.placedAt;
-    const double seconds = std::chrono::duration<double>(now - since).count() + restartCostSeconds;
+    const double seconds = std::chrono::duration<double>(now - since).count() + state.limits.restartCostSeconds;
     return seconds * run.need.weight();
 }
 
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// A worker that refused a start for lack of resources still holds runs that are being stopped, for 200 ms at most,
-// which the scheduler no longer counts.
-constexpr milliseconds refusalBackoff { 400 };
 // Reports lag behind a start by one status poll of the worker, half a second. A stop is sent for a run missing for longer.
 constexpr milliseconds missingRunTimeout { 2500 };
 // One failure blamed on a worker makes it suspect; one success brings the score back below the threshold.
@@ -17,8 +14,6 @@
 constexpr double faultScoreFactorOnSuccess = 0.25;
 // The progress rate is measured over windows of this length; reports arrive twice a second.
 constexpr milliseconds rateWindow { 1800 };
-// The rate is measured from this long after placement: the start and the restore of a checkpoint take up to 800 ms.
-constexpr milliseconds startupTime { 1000 };
 
 double secondsBetween(time_point from, time_point to)
 {
@@ -47,8 +42,13 @@
 }
 
 scheduler_core::scheduler_core(core_settings settings)
-    : m_settings(settings)
 {
+    setBounds(settings.bounds);
+}
+
+void scheduler_core::setBounds(const platform_bounds& bounds)
+{
+    m_state.limits = deriveLimits(bounds);
 }
 
 void scheduler_core::configure(configuration rules)
@@ -95,7 +95,7 @@
                 run.worker = tasks[i].worker;
                 run.life = tasks[i].life;
                 run.need = job.job.spec.steps[s].held();
-                run.expectedMs = static_cast<double>(job.job.spec.steps[s].runTimeMs);
+                run.expectedMs = static_cast<double>(estimatedRunTime(job, s).count());
                 run.placedAt = run.advancedAt = run.windowStartedAt = run.checkpointAt = now;
                 run.restored = restore_state::Unknown;
                 addRun(m_state, std::move(run));
@@ -201,7 +201,7 @@
     run.missingSince.reset();
     if (run.phase == run_phase::Placed)
         run.phase = run_phase::Active;
-    if (!run.progressKnown && now - run.placedAt >= startupTime) {
+    if (!run.progressKnown && now - run.placedAt >= m_state.limits.startup) {
         // A resumed run jumps to its saved progress once the checkpoint is restored; that jump must not count as speed.
         run.progressKnown = true;
         run.windowStartPercent = active.percent;
@@ -339,7 +339,7 @@
     if (found == m_state.runs.end())
         return;
     if (insufficientResources)
-        found->second.host->blockedUntil = now + refusalBackoff;
+        found->second.host->blockedUntil = now + m_state.limits.refusalBackoff;
     // The run may have ended there already; the worker's answer to a stop shows it.
     if (found->second.restored == restore_state::Ordered)
         return stop(found->second, "its restored start was refused", now);
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr double faultScorePerStraggler = 1;
-// Runs that save checkpoints are stopped on a draining worker this long before its deadline, which leaves time for the stop.
-constexpr milliseconds drainStopMargin { 900 };
 
 } // namespace
 
@@ -50,7 +48,7 @@
     m_evictionCandidates.clear();
     m_releases.reset();
     m_effects.emplace_back(
-        stop_effect { run.id, run.worker, reason, run.percent, run.ratePercent, lostWorkOf(run, now) });
+        stop_effect { run.id, run.worker, reason, run.percent, run.ratePercent, lostWorkOf(m_state, run, now) });
 }
 
 void scheduler_core::stopUnit(const unit_id& unit, const std::string& reason, time_point now)
@@ -103,7 +101,7 @@
         const bool savesCheckpoints = run.job != nullptr && run.job->job.spec.steps[id.task.step].checkpointing;
         // Runs with checkpoints continue until just before the deadline; others that can't end in time are stopped at once,
         // to be restarted elsewhere.
-        if (releaseTimeOf(m_state, run) > timeLeft && (!savesCheckpoints || timeLeft < drainStopMargin))
+        if (releaseTimeOf(m_state, run) > timeLeft && (!savesCheckpoints || timeLeft < m_state.limits.drainStopMargin))
             stopUnit(unitOf(m_state, id.task), "its worker leaves", now);
     }
 }
@@ -117,7 +115,7 @@
         // A gang member at 100 % waits for the others and is not stalled.
         if (step.lasting || run.percent >= 100)
             continue;
-        const bool stalled = isStalled(m_state, run, m_settings.gangTimeout, now);
+        const bool stalled = isStalled(m_state, run, m_state.limits.gangTimeout, now);
         const bool slow = isSlow(m_state, run) && !run.job->movedAsSlow.contains(unitOf(m_state, id.task));
         if ((!stalled && !slow) || !canRestartElsewhere(run, now))
             continue;
--- a/lib/libfleet/source/core/stragglers.cpp
+++ b/lib/libfleet/source/core/stragglers.cpp
@@ -1,5 +1,7 @@
 #include <fleet/core/stragglers.hpp>
 
+#include <fleet/core/objective.hpp>
+
 #include <algorithm>
 
 namespace fleet {
@@ -10,9 +12,8 @@
 constexpr milliseconds stallLimit { 1600 };
 constexpr double stallRunTimePercent = 8;
 constexpr unsigned minStallReports = 2;
-// A slow run is restarted only if its remaining time exceeds the run time elsewhere by this factor plus the cost of a move.
+// A slow run is restarted only if its remaining time exceeds the run time elsewhere by this factor, beside the cost of a move.
 constexpr double minRestartSpeedup = 1.6;
-constexpr double moveCostSeconds = 1;
 // Run times of tasks of one step differ by up to this factor on healthy workers.
 constexpr double taskTimeVariation = 2.5;
 // Estimated run times are wrong by up to this factor; slow workers take at least four times as long.
@@ -79,7 +80,7 @@
     const auto known = job.shortestRunTimeMs.find(run.id.task.step);
     if (known != job.shortestRunTimeMs.end() && known->second < ownMs * maxSiblingTimeShare)
         return ownMs / known->second;
-    const auto estimate = static_cast<double>(std::max<std::int64_t>(job.job.spec.steps[run.id.task.step].runTimeMs, 1));
+    const auto estimate = static_cast<double>(std::max<std::int64_t>(estimatedRunTime(job, run.id.task.step).count(), 1));
     return ownMs / (estimate * estimateMargin);
 }
 
@@ -126,7 +127,7 @@
     const auto known = run.job->shortestRunTimeMs.find(run.id.task.step);
     if (known != run.job->shortestRunTimeMs.end() && known->second < projectedRunTimeMs(run) / taskTimeVariation)
         elsewhereSeconds = known->second / 1000;
-    return remainingSeconds > elsewhereSeconds * minRestartSpeedup + moveCostSeconds && !progressesLikeSiblings(state, run)
+    return remainingSeconds > elsewhereSeconds * minRestartSpeedup + state.limits.moveCostSeconds && !progressesLikeSiblings(state, run)
         && isWorkerSlow(state, run, *run.job);
 }
 
--- a/lib/libfleet/source/core/unit_placement.cpp
+++ b/lib/libfleet/source/core/unit_placement.cpp
@@ -7,18 +7,12 @@
 
 namespace {
 
-// Reserved resources become free once the ends of the stopped runs are reported: up to 200 ms to end them,
-// a status poll of the worker and two messages.
-constexpr milliseconds reservationDuration { 1500 };
 // Planning an eviction is the most expensive decision, and little changes within this interval.
 constexpr milliseconds reservationRetryInterval { 100 };
 // A start takes a store write and two messages, up to 100 ms, and reported progress is half a second old.
 constexpr milliseconds startMargin { 300 };
 // Slack is computed from estimated run times, which are off by half; only this share of it is relied on.
 constexpr double usableSlackShare = 0.6;
-// Guaranteed work has to start within 2.7 s of its acknowledgement; evicting after this delay leaves time for the stops,
-// the store write and the start.
-constexpr milliseconds guaranteeReclaimDelay { 1200 };
 // Core-seconds of other work that may be lost for an urgent unit: a base and a factor on the work of its job.
 // Urgent work loses four fifths of its value when late, and lost work has to be repeated.
 constexpr double baseEvictionBudget = 500;
@@ -29,20 +23,17 @@
 // Gangs for which room is collected at the same time; each keeps room idle.
 constexpr std::size_t maxCollections = 3;
 
-// A task takes three times as long away from its data, so waiting up to the two extra run times costs no more.
-constexpr int remoteDelayRunTimes = 2;
-// Work within a guarantee has to start within 2.7 s of its acceptance, away from its data if necessary.
-constexpr milliseconds maxGuaranteedRemoteDelay { 2000 };
-
 // A last attempt is kept from suspect workers for this long at most. The platform allows a job that could run 3 s with nothing
 // at work; while healthy workers could take it, their room may be worth a wait of a task's run time.
 constexpr milliseconds maxLastAttemptWait { 2000 };
 constexpr milliseconds maxLastAttemptWaitForRoom { 12'000 };
 
-milliseconds remotePlacementDelay(const step_spec& step, bool guaranteed)
+/// @brief How long a unit waits for a place near its data. Waiting up to the extra run time away from it costs no more; work
+/// within a guarantee has to start in time, away from its data if necessary.
+milliseconds remotePlacementDelay(milliseconds runTime, bool guaranteed, const decision_limits& limits)
 {
-    const milliseconds maxWait(step.runTimeMs * remoteDelayRunTimes);
-    return guaranteed ? std::min(maxWait, maxGuaranteedRemoteDelay) : maxWait;
+    const milliseconds maxWait(static_cast<std::int64_t>(static_cast<double>(runTime.count()) * std::max(0.0, limits.spreadFactor - 1)));
+    return guaranteed ? std::min(maxWait, limits.maxGuaranteedRemoteDelay) : maxWait;
 }
 
 unsigned tasksOf(const step_spec& step)
@@ -108,7 +99,7 @@
         if (tasks[i].status == task_status::Live)
             ++request.liveTasksByWorker[tasks[i].worker];
     }
-    request.remoteAllowed = now - job.readySince > remotePlacementDelay(step, m_state.guaranteedJobs.contains(unit.job));
+    request.remoteAllowed = now - job.readySince > remotePlacementDelay(estimatedRunTime(job, unit.step), m_state.guaranteedJobs.contains(unit.job), m_state.limits);
     if (const auto held = m_state.reservations.find(unit); held != m_state.reservations.end()) {
         request.reservedNeed = held->second.need;
         request.reservedOn = held->second.workers;
@@ -128,7 +119,7 @@
 
 void scheduler_core::placePendingUnits(time_point now)
 {
-    std::erase_if(m_reservationTriedAt, [now](const auto& entry) { return now - entry.second > reservationDuration; });
+    std::erase_if(m_reservationTriedAt, [this, now](const auto& entry) { return now - entry.second > m_state.limits.reservation; });
     std::erase_if(m_lastDeferrals, [this](const auto& entry) { return isFinal(m_state.jobs.at(entry.first.job).progress.state); });
     m_state.guaranteedJobs = findGuaranteedJobs(m_state);
     m_evictionCandidates.clear();
@@ -265,7 +256,7 @@
     const double slackMs = static_cast<double>(slackOf(job, entry.unit, now).count()) * usableSlackShare;
     auto maxWait = milliseconds(static_cast<std::int64_t>(slackMs)) - startMargin;
     if (reclaimsGuarantee)
-        maxWait = std::min(maxWait, guaranteeReclaimDelay - waited);
+        maxWait = std::min(maxWait, m_state.limits.reclaimDelay - waited);
     deferral.maxWait = maxWait;
     if (maxWait.count() > 0) {
         if (const auto places = findExpectedPlaces(request, maxWait)) {
@@ -276,33 +267,33 @@
     }
     if (!reclaimsGuarantee && entry.deadlineStatus != deadline_status::InTime) {
         deferral.reason = deferral_reason::TooLate;
-        return noteDeferral(deferral, {}, nearEndLimit);
+        return noteDeferral(deferral, {}, m_state.limits.nearEnd);
     }
-    const bool reclaimDue = reclaimsGuarantee && waited >= guaranteeReclaimDelay;
+    const bool reclaimDue = reclaimsGuarantee && waited >= m_state.limits.reclaimDelay;
     const auto right = reclaimDue ? reclaim_right::Due
         : reclaimsGuarantee       ? reclaim_right::Guaranteed
                                   : reclaim_right::None;
     const auto plan = planEviction(m_state, request, evictionCandidates(right, now), now);
     if (!plan)
-        return noteDeferral(deferral, {}, nearEndLimit);
+        return noteDeferral(deferral, {}, m_state.limits.nearEnd);
     deferral.victims = plan->victims.size();
     deferral.cost = plan->cost;
     // Unless a guarantee is due, units are evicted only if the lost work is within the budget.
-    if (!reclaimDue && plan->cost > baseEvictionBudget + evictionBudgetPerWork * workOf(job.job.spec)) {
+    if (!reclaimDue && plan->cost > baseEvictionBudget + evictionBudgetPerWork * workOf(job)) {
         deferral.reason = deferral_reason::OverBudget;
-        return noteDeferral(deferral, plan->workers, nearEndLimit);
+        return noteDeferral(deferral, plan->workers, m_state.limits.nearEnd);
     }
     deferral.reason = deferral_reason::WaitsForEvictions;
     // Once the reclaim is due no run is awaited.
-    noteDeferral(deferral, reclaimDue ? std::vector<std::string> {} : plan->workers, nearEndLimit);
+    noteDeferral(deferral, reclaimDue ? std::vector<std::string> {} : plan->workers, m_state.limits.nearEnd);
     for (const auto& victim : plan->victims) {
         ++m_state.jobs.at(victim.job).evictions[victim];
         stopUnit(victim, "room for urgent work", now);
     }
     // Guaranteed work plans again when its reclaim becomes due, and from then on whenever stops are overdue.
-    auto duration = reservationDuration;
+    auto duration = m_state.limits.reservation;
     if (reclaimsGuarantee)
-        duration = std::min(duration, std::max(guaranteeReclaimDelay - waited, stopTimeout));
+        duration = std::min(duration, std::max(m_state.limits.reclaimDelay - waited, m_state.limits.stopTimeout));
     reserve(entry.unit, plan->workers, need, now + duration);
 }
 
@@ -369,7 +360,7 @@
     for (unsigned i = first; i < first + workers.size(); ++i)
         attempt = std::max(attempt, tasks[i].attempt + 1);
     const auto checkpoint = tasks[first].checkpoint;
-    const double spread = slowdownOf(m_state, step, workers, m_settings.spreadFactor);
+    const double spread = slowdownOf(m_state, step, workers, m_state.limits.spreadFactor);
     const auto slack = slackOf(job, unit, now);
     const auto waited = std::chrono::duration_cast<milliseconds>(now - job.acceptedAt);
     const bool withinGuarantee = m_state.guaranteedJobs.contains(unit.job);
@@ -386,7 +377,7 @@
         run.worker = workers[i];
         run.life = task.life;
         run.need = step.held();
-        run.expectedMs = static_cast<double>(step.runTimeMs) * spread;
+        run.expectedMs = static_cast<double>(estimatedRunTime(job, unit.step).count()) * spread;
         run.spread = spread;
         run.placedAt = run.advancedAt = run.windowStartedAt = run.checkpointAt = now;
         m_effects.emplace_back(start_effect {
--- a/lib/libfleet/source/entry/fleet_entry.cpp
+++ b/lib/libfleet/source/entry/fleet_entry.cpp
@@ -136,6 +136,15 @@
     });
 }
 
+void fleet_entry::setBounds(const platform_bounds& bounds)
+{
+    if (bounds == m_settings.core.bounds)
+        return;
+    m_settings.core.bounds = bounds;
+    if (m_scheduler != nullptr)
+        m_scheduler->setBounds(bounds);
+}
+
 void fleet_entry::becomeLeader(std::uint64_t epoch)
 {
     fleet_scheduler::environment schedulerDependencies { m_dependencies.loop, m_dependencies.store, m_dependencies.metrics, m_dependencies.clock,
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -16,8 +16,6 @@
 // Decides again at this period, because the passing of time alone changes slack, stragglers and due times.
 constexpr milliseconds tickPeriod { 200 };
 constexpr milliseconds stopRetryDelay { 400 };
-// A stopped run ends within 200 ms, and the agent reports its end after the next poll of its backend server.
-constexpr milliseconds endReportTimeout { 1500 };
 // A job's age is the difference of the clocks of two machines; a larger one means that a clock jumped.
 constexpr milliseconds maxJobAge { 600'000 };
 
@@ -177,6 +175,12 @@
     scheduleDecision();
 }
 
+void fleet_scheduler::setBounds(const platform_bounds& bounds)
+{
+    m_core.setBounds(bounds);
+    scheduleDecision();
+}
+
 void fleet_scheduler::setDomainsOut(std::set<std::string> domains)
 {
     m_core.setDomainsOut(std::move(domains));
@@ -412,7 +416,7 @@
     const auto age = std::chrono::duration_cast<milliseconds>(m_environment.loop.timers().now() - job->acceptedAt);
     oriole::logEvent(oriole::log_level::Info, "job_finished",
         { { "job", id }, { "queue", job->job.queue }, { "priority", rule.priority }, { "state", toString(job->progress.state) },
-            { "age_ms", age.count() }, { "objective_ms", objectiveOf(job->job.spec, rule).count() } });
+            { "age_ms", age.count() }, { "objective_ms", objectiveOf(*job).count() } });
 }
 
 void fleet_scheduler::logLoad(time_point now)
@@ -475,7 +479,7 @@
             return scheduleDecision();
         }
         const bool ending = outcome == stop_outcome::Ending;
-        m_environment.loop.timers().subscribeOnce(ending ? endReportTimeout : stopRetryDelay, [this, id, alive](time_point) {
+        m_environment.loop.timers().subscribeOnce(ending ? m_core.state().limits.endReportTimeout : stopRetryDelay, [this, id, alive](time_point) {
             if (!*alive)
                 return;
             m_pendingStops.erase(id);
--- a/main/oriolefleetd/source/entry_process.cpp
+++ b/main/oriolefleetd/source/entry_process.cpp
@@ -32,8 +32,7 @@
 fleet::scheduler_settings schedulerSettings(const platform::node_settings& settings)
 {
     fleet::scheduler_settings out;
-    out.core.spreadFactor = settings.spreadFactor;
-    out.core.gangTimeout = settings.gangTimeout;
+    out.core.bounds = settings.bounds;
     out.directory.agents = agentTiming(settings);
     return out;
 }
@@ -55,7 +54,7 @@
               [this](const fleet::incoming_request& request, const auto& respond) { m_api.handle(request, respond); })
         , m_ready(m_loop, { settings.readyAddress, {}, 1024 },
               [this](const fleet::incoming_request&, const auto& respond) { respond({ isReady() ? 200U : 503U, "{}", {} }); })
-        , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { m_peers.add(changed.seeds); })
+        , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { applySettings(changed); })
         , m_metricsListener(openMetrics(m_loop, m_metrics, settings, options))
     {
         m_peers.add(settings.seeds);
@@ -82,6 +81,13 @@
 
     void announce(const std::string& agent, const std::string& address) override { m_entry.announce(agent, address); }
 
+    void applySettings(const platform::node_settings& changed)
+    {
+        m_peers.add(changed.seeds);
+        m_entry.setBounds(changed.bounds);
+        platform::logUnusableBounds(changed);
+    }
+
     bool isReady() const
     {
         return !m_stopping && m_desk.ready() && m_control.view().loaded
--- a/main/oriolefleetd/source/main.cpp
+++ b/main/oriolefleetd/source/main.cpp
@@ -44,5 +44,6 @@
     // Logs belong on standard output, but the logging library writes to standard error.
     dup2(STDOUT_FILENO, STDERR_FILENO);
     oriole::startLogging("oriolefleetd", settings.value().name);
+    platform::logUnusableBounds(settings.value());
     return entry->parsed() ? fleetd::runEntry(settings.value(), options) : fleetd::runAgent(settings.value(), options);
 }
