--- a/lib/libfleet/include/fleet/records/job_codec.hpp
+++ b/lib/libfleet/include/fleet/records/job_codec.hpp
@@ -19,6 +19,7 @@
 inline const std::string members = "oriole/member/"; ///< Addresses of agents and entries.
 inline const std::string cores = "oriole/cores/"; ///< Processor share of each entry in cores.
 inline const std::string scheduler = "oriole/scheduler"; ///< The entry that runs the scheduler; bound to its lease.
+inline const std::string backlog = "oriole/backlog"; ///< Work that waits; written by the scheduler, read by all entries.
 } // namespace record_keys
 
 /// @brief Queue and state of a job.
--- a/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
+++ b/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
@@ -4,6 +4,7 @@
 
 #include <fleet/core/scheduler_core.hpp>
 #include <fleet/scheduler/agent_directory.hpp>
+#include <fleet/scheduler/backlog_publisher.hpp>
 #include <fleet/scheduler/progress_writer.hpp>
 #include <fleet/store/store_mirror.hpp>
 
@@ -107,6 +108,7 @@
     store_mirror m_jobs;
     store_mirror m_progress;
     store_mirror m_cancels;
+    backlog_publisher m_backlog;
     std::map<std::string, std::vector<pending_start>> m_pendingStarts; ///< By job; sent once recorded in the store.
     std::map<std::string, unacknowledged_ends> m_ends; ///< By agent.
     std::map<std::string, worker_report> m_reportsBeforeLoad; ///< Latest report of each agent.
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -1,5 +1,6 @@
 #include <fleet/scheduler/fleet_scheduler.hpp>
 
+#include <fleet/core/backlog_summary.hpp>
 #include <fleet/model/unix_time.hpp>
 #include <fleet/records/job_codec.hpp>
 #include <fleet/scheduler/leadership.hpp>
@@ -70,6 +71,7 @@
     , m_jobs(m_environment.store, m_environment.loop.timers(), record_keys::jobs)
     , m_progress(m_environment.store, m_environment.loop.timers(), record_keys::progress)
     , m_cancels(m_environment.store, m_environment.loop.timers(), record_keys::cancels)
+    , m_backlog(m_environment.store, m_environment.metrics, static_cast<revision_number>(epoch))
 {
 }
 
@@ -492,6 +494,8 @@
 {
     const auto now = m_environment.loop.timers().now();
     logLoad(now);
+    if (m_ready)
+        m_backlog.update(now, [this, now] { return summarizeBacklog(m_core.state(), now); });
     m_agents.check(now);
     std::erase_if(m_pendingStops, [this](const run_id& id) { return !m_core.state().runs.contains(id); });
     scheduleDecision();
--- a/tests/fleet/fleet_scheduler_test.cpp
+++ b/tests/fleet/fleet_scheduler_test.cpp
@@ -2,6 +2,8 @@
 #include "fake_store.hpp"
 
 #include <fleet/agent/agent_server.hpp>
+#include <fleet/model/unix_time.hpp>
+#include <fleet/records/backlog_codec.hpp>
 #include <fleet/records/job_codec.hpp>
 #include <fleet/rpc/convert.hpp>
 #include <fleet/rpc/streams.hpp>
@@ -152,6 +154,27 @@
     CHECK(fixture.starts == 1);
 }
 
+// Entries that know nothing of the scheduler's backlog accept work that can't be served in time.
+TEST_CASE("a scheduler publishes what waits once agents have had time to attach", "[scheduler][backlog]")
+{
+    takeover_fixture fixture;
+    // More accelerators than the only worker has, for longer than is negligible.
+    auto waiting = job("00000000000000bb", "batch", { step(20, 8, 60'000) });
+    waiting.acceptedUnixMs = unixMilliseconds();
+    fixture.store.put(record_keys::jobs + waiting.id, encodeJob(waiting));
+    for (unsigned i = 0; i < 800 && !fixture.store.records.contains(record_keys::backlog); ++i) {
+        fixture.store.run();
+        fixture.pass(milliseconds(10));
+    }
+    REQUIRE(fixture.store.records.contains(record_keys::backlog));
+    const auto published = decodeBacklog(fixture.store.records.at(record_keys::backlog).value);
+    REQUIRE(published);
+    CHECK(published->epoch == epoch);
+    const auto& sums = published->content.services.at(service);
+    CHECK(sums.capacity.accelerators == Approx(8));
+    CHECK(sums.waiting.at(2).total.accelerators >= 19 * 8 * 60);
+}
+
 // Starting a job anew whose progress is unknown could run it twice.
 TEST_CASE("a job whose recorded progress doesn't fit it is not started, and the others are", "[scheduler][take-over]")
 {
