Entries refuse jobs that can't be served in time under the present load

Cause: such a job was accepted, took capacity from work that could still be served, and earned its caller nothing.

Change: before a job is stored, its entry decides by the backlog. The store is asked for the id first, so that a job that it holds stays accepted; if it does not answer, the submission goes on as without load.

--- a/lib/libfleet/include/fleet/entry/fleet_entry.hpp
+++ b/lib/libfleet/include/fleet/entry/fleet_entry.hpp
@@ -52,6 +52,9 @@
 
     [[nodiscard]] bool isLeader() const { return m_scheduler != nullptr; }
 
+    /// @brief Epoch of the scheduler by its record as last seen; 0 if there is none.
+    [[nodiscard]] std::uint64_t schedulerEpoch() const;
+
 private:
     void becomeLeader(std::uint64_t epoch);
     void loseLeadership();
--- a/lib/libfleet/include/fleet/entry/job_service.hpp
+++ b/lib/libfleet/include/fleet/entry/job_service.hpp
@@ -32,6 +32,9 @@
     /// @brief Stores a job on condition that the configuration by which it was admitted is still current.
     void submit(accepted_job job, const record_condition& control, std::function<void(submit_outcome)> done);
 
+    /// @brief Tells whether the store holds a job of this id, whatever its body.
+    void holds(const std::string& id, std::function<void(result<bool>)> done);
+
     /// @brief Looks up a job's status; @p done receives no value if the job does not exist.
     void find(const std::string& id, std::function<void(result<std::optional<job_status>>)> done);
 
--- a/lib/libfleet/source/entry/fleet_entry.cpp
+++ b/lib/libfleet/source/entry/fleet_entry.cpp
@@ -179,6 +179,13 @@
     m_scheduler->setDomainsOut(m_dependencies.control.view().domainsOut);
 }
 
+std::uint64_t fleet_entry::schedulerEpoch() const
+{
+    const auto& records = m_schedulerRecord.records();
+    const auto found = records.find(record_keys::scheduler);
+    return found == records.end() ? 0 : static_cast<std::uint64_t>(found->second.revision);
+}
+
 void fleet_entry::resign(std::function<void()> done)
 {
     m_leadership.resign(std::move(done));
--- a/lib/libfleet/source/entry/job_service.cpp
+++ b/lib/libfleet/source/entry/job_service.cpp
@@ -75,6 +75,18 @@
         });
 }
 
+void job_service::holds(const std::string& id, std::function<void(result<bool>)> done)
+{
+    if (m_statuses.contains(id))
+        return done(true);
+    // The watch may be behind, so only the store can tell that there is no such job.
+    m_store.get(record_keys::jobs + id, [done = std::move(done)](const result<record>& found) {
+        if (!found)
+            return done(found.error());
+        done(found.value().revision != 0);
+    });
+}
+
 void job_service::find(const std::string& id, std::function<void(result<std::optional<job_status>>)> done)
 {
     if (const auto known = m_statuses.find(id); known != m_statuses.end()) {
--- a/main/oriolefleetd/source/entry_process.cpp
+++ b/main/oriolefleetd/source/entry_process.cpp
@@ -48,7 +48,8 @@
         , m_peers(m_loop, { settings.rpcAddress, announcedAddress(settings, options) })
         , m_entry({ m_loop, m_store, m_control, m_metrics, bootClock, m_peers },
               { settings.name, announcedAddress(settings, options), settings.cores }, schedulerSettings(settings))
-        , m_api({ m_loop, m_desk, m_control, m_peers, m_metrics, bootClock, maxViewAge, settings.maxRecordBytes })
+        , m_backlog(m_store, m_loop.timers(), bootClock, [this] { return m_entry.schedulerEpoch(); })
+        , m_api({ m_loop, m_desk, m_control, m_peers, m_metrics, bootClock, maxViewAge, settings.maxRecordBytes, &m_backlog })
         , m_server(m_loop, *this, settings.rpcAddress)
         , m_callers(m_loop, { settings.callerAddress, { "X-Key" }, 1U << 20U },
               [this](const fleet::incoming_request& request, const auto& respond) { m_api.handle(request, respond); })
@@ -67,6 +68,7 @@
         m_control.start([this] { m_entry.controlChanged(); });
         m_desk.start();
         m_entry.start();
+        m_backlog.start();
         m_loop.onStopSignal([this] { stop(); });
         m_loop.run();
         oriole::logEvent(oriole::log_level::Info, "stopped", {});
@@ -115,6 +117,7 @@
     fleet::job_service m_desk;
     fleet::entry_peers m_peers;
     fleet::fleet_entry m_entry;
+    fleet::backlog_watch m_backlog;
     platform::caller_api m_api;
     fleet::entry_server m_server;
     fleet::http_listener m_callers;
