Load replay: organisations with a stated skew, two more loads, and figures on request

Cause: shares of organisations and evictions have to be measured before and after, and the replay had one load with a mild, fixed skew.

Change: replay_load::organisationSkew draws the organisations with an exponent (one draw for each job, so that loads of different skews differ in their organisations only); skewedLoad and narrowLoad describe deployments of 53 and 63 workers with 10 organisations; the outcome has the waits and values of each organisation.

The existing test cases of [replay] are unchanged.

--- a/tests/fleet/load_replay.cpp
+++ b/tests/fleet/load_replay.cpp
@@ -34,6 +34,7 @@
 struct arrival {
     time_point at;
     accepted_job job;
+    unsigned organisation = 0;
     double runTimeFactor = 1; ///< True run time by the declared one.
 };
 
@@ -60,6 +61,7 @@
         for (unsigned i = 0; i < load.organisations; ++i)
             rules.organisations.push_back({ "org" + std::to_string(i), {}, load.guaranteedAccelerators });
         m_core.configure(rules);
+        m_outcome.organisations.resize(load.organisations);
         drawArrivals();
     }
 
@@ -95,6 +97,24 @@
             [](const arrival& a, const arrival& b) { return std::tie(a.at, a.job.id) < std::tie(b.at, b.job.id); });
     }
 
+    /// @brief One draw whatever the skew, so that loads with different skews differ in their organisations only.
+    unsigned drawOrganisation()
+    {
+        const double drawn = uniform(0, 1);
+        if (!m_load.organisationSkew)
+            return static_cast<unsigned>(std::pow(drawn, 1.5) * m_load.organisations);
+        double total = 0;
+        for (unsigned i = 1; i <= m_load.organisations; ++i)
+            total += std::pow(i, -*m_load.organisationSkew);
+        double sum = 0;
+        for (unsigned i = 1; i < m_load.organisations; ++i) {
+            sum += std::pow(i, -*m_load.organisationSkew) / total;
+            if (drawn < sum)
+                return i - 1;
+        }
+        return m_load.organisations - 1;
+    }
+
     arrival drawJob(const job_kind& kind, milliseconds at, unsigned number)
     {
         arrival out;
@@ -105,7 +125,8 @@
             out.job.id += "0123456789abcdef"[mixed & 15U];
         out.job.queue = kind.queue;
         out.job.service = "app";
-        out.job.organisation = "org" + std::to_string(static_cast<unsigned>(std::pow(uniform(0, 1), 1.5) * m_load.organisations));
+        out.organisation = drawOrganisation();
+        out.job.organisation = "org" + std::to_string(out.organisation);
         step_spec step;
         const double width = -std::log(uniform(1e-9, 1)) * kind.meanWidth;
         step.count = std::clamp(static_cast<unsigned>(width) + 1, 1U, kind.maxWidth);
@@ -286,6 +307,7 @@
             run.doneMs = run.savedMs = std::stod(order.checkpoint);
             run.restoreLeftMs = restoreMs;
         }
+        m_firstStarts.try_emplace(order.run.task.job, m_now);
         m_runs[order.run] = run;
         m_workers[order.worker].runs.insert(order.run);
         m_core.startAccepted(order.run, m_now);
@@ -322,18 +344,27 @@
         // A job that can no longer be judged when the replay ends is not counted.
         if (entry.at + objective > m_now)
             return;
+        auto& organisation = m_outcome.organisations[entry.organisation];
         ++queue.jobs;
+        ++organisation.jobs;
         queue.owed += kind.value * share;
+        organisation.owed += kind.value * share;
+        const auto started = m_firstStarts.find(entry.job.id);
+        const auto waited = (started == m_firstStarts.end() ? m_now : started->second) - entry.at;
+        organisation.waitedMs += std::chrono::duration<double, std::milli>(waited).count();
         if (job->progress.state != job_state::Completed)
             return;
         const auto age = job->readySince - entry.at;
+        double value = 0;
         if (age <= objective) {
             ++queue.inTime;
-            queue.value += kind.value * share;
+            value = kind.value * share;
         } else if (age <= objective * lateFactor) {
             ++queue.late;
-            queue.value += kind.lateValue * share;
+            value = kind.lateValue * share;
         }
+        queue.value += value;
+        organisation.value += value;
     }
 
     struct simulated_worker {
@@ -352,6 +383,7 @@
     std::vector<arrival> m_arrivals;
     std::size_t m_nextArrival = 0;
     std::map<std::string, double> m_factors;
+    std::map<std::string, time_point> m_firstStarts; ///< By job.
     std::map<std::string, simulated_worker> m_workers;
     std::map<run_id, simulated_run> m_runs;
     std::vector<run_end> m_ends;
@@ -386,6 +418,49 @@
     return load;
 }
 
+namespace {
+
+replay_load skewedOrganisations()
+{
+    replay_load load;
+    load.organisations = 10;
+    load.organisationSkew = 1.2;
+    load.queues = { { "bundle", "host", "/bundle/", "app", 1, 3, 3, 1200, true },
+        { "check", "host", "/check/", "app", 0, 3, 1.5, 300, true },
+        { "sweep", "host", "/sweep/", "app", 2, 3, 3, 3000, true } };
+    load.bursts = { { "check", milliseconds(10'000), milliseconds(5000), 2.4 },
+        { "bundle", milliseconds(17'000), milliseconds(5000), 2 }, { "sweep", milliseconds(12'000), milliseconds(4000), 2.6 } };
+    return load;
+}
+
+} // namespace
+
+replay_load skewedLoad(double factor)
+{
+    auto load = skewedOrganisations();
+    load.workers = 53;
+    load.workersPerRack = 4;
+    load.capacity = { 64'000, 262'144, 8 };
+    load.guaranteedAccelerators = 16;
+    load.kinds = { { "bundle", 0.635 * factor, 6, 36, 26'000, 70'000, { 1, 2, 4, 8 }, 8500, 0.5, true, 0.6, 0.45, 3, 0.9 },
+        { "check", 1.14 * factor, 5, 30, 7500, 20'000, { 1, 2, 4, 8 }, 2500, 0.5, true, 0.8, 0, 4, 0.8 },
+        { "sweep", 0.273 * factor, 39, 230, 5600, 12'000, { 1 }, 9500, 0.9, false, 0, 0.45, 1, 0.3 } };
+    return load;
+}
+
+replay_load narrowLoad(double factor)
+{
+    auto load = skewedOrganisations();
+    load.workers = 63;
+    load.workersPerRack = 5;
+    load.capacity = { 32'000, 131'072, 8 };
+    load.guaranteedAccelerators = 16;
+    load.kinds = { { "bundle", 0.559 * factor, 6, 36, 13'000, 35'000, { 1, 2, 4, 8 }, 7200, 0.5, true, 0.6, 0.45, 3, 0.3 },
+        { "check", 1.2 * factor, 5, 30, 3700, 10'000, { 1, 2, 4, 8 }, 2100, 0.5, true, 0.8, 0, 4, 0.8 },
+        { "sweep", 0.286 * factor, 39, 230, 2800, 6000, { 1 }, 8100, 0.5, false, 0, 0.45, 1, 0.1 } };
+    return load;
+}
+
 replay_outcome replay(const replay_load& load)
 {
     return load_player(load).play();
--- a/tests/fleet/load_replay.hpp
+++ b/tests/fleet/load_replay.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -43,6 +44,8 @@
     unsigned workersPerRack = 8;
     resources capacity { 128'000, 262'144, 8 };
     unsigned organisations = 24;
+    /// Exponent by which the arrivals fall off over the organisations; 0 for equal arrivals. Without a value a mild skew is drawn.
+    std::optional<double> organisationSkew;
     std::int64_t guaranteedAccelerators = 30; ///< Of each organisation.
     std::vector<queue_rule> queues;
     std::vector<job_kind> kinds;
@@ -55,6 +58,13 @@
 /// @brief The load of a deployment of hundreds of workers: urgent and wide gangs beside batch steps of many tasks.
 replay_load largeLoad(unsigned workers, double factor);
 
+/// @brief The load of about 50 workers of 64 cores whose gangs take several accelerators a task, beside batch steps with poor
+/// estimates. 10 organisations, whose arrivals fall off with exponent 1.2.
+replay_load skewedLoad(double factor);
+
+/// @brief The load of about 60 workers of 32 cores with narrow urgent gangs. 10 organisations as in skewedLoad.
+replay_load narrowLoad(double factor);
+
 /// @brief What callers received for one queue.
 struct queue_outcome {
     unsigned jobs = 0;
@@ -64,8 +74,19 @@
     double owed = 0; ///< Value if every job had been completed in time.
 };
 
+/// @brief What the callers of one organisation received.
+struct organisation_outcome {
+    unsigned jobs = 0;
+    double waitedMs = 0; ///< Sum over its jobs: time from arrival to the first start.
+    double value = 0;
+    double owed = 0;
+
+    [[nodiscard]] double meanWaitMs() const { return jobs > 0 ? waitedMs / jobs : 0; }
+};
+
 struct replay_outcome {
     std::map<std::string, queue_outcome> queues;
+    std::vector<organisation_outcome> organisations; ///< By number; with a skew the first one sends most.
     double lostCoreSeconds = 0; ///< Work of stopped runs that no checkpoint kept.
     double usedCoreSeconds = 0;
     unsigned starts = 0;
