Work within a guarantee stops urgent work that is in time only when the reclaim is due

Cause: guaranteed work stopped other jobs of priority 0 from the first moment that it did not fit. The victim lost as much as the guaranteed job gained, although capacity might have become free within the bound of the reclaim.

Change: before the reclaim is due only jobs of priority 0 that are expected to miss their objective give way. Once it is due evictions are as before.

--- a/lib/libfleet/include/fleet/core/eviction.hpp
+++ b/lib/libfleet/include/fleet/core/eviction.hpp
@@ -13,8 +13,8 @@
 /// @brief How far a unit may displace other runs.
 enum class reclaim_right {
     None, ///< Runs of lower priority.
-    Guaranteed, ///< Runs outside of guarantees too. Runs that are about to end are awaited.
-    Due, ///< As Guaranteed, and no run is awaited unless it was stopped.
+    Guaranteed, ///< Runs outside of guarantees too, unless their job is in time. Runs that are about to end are awaited.
+    Due, ///< As Guaranteed, also if their job is in time; no run is awaited unless it was stopped.
 };
 
 struct eviction_plan {
--- a/lib/libfleet/source/core/eviction.cpp
+++ b/lib/libfleet/source/core/eviction.cpp
@@ -1,4 +1,5 @@
 #include <fleet/core/eviction.hpp>
+#include <fleet/core/objective.hpp>
 
 #include <algorithm>
 #include <limits>
@@ -22,12 +23,23 @@
     return right != reclaim_right::Due && endsSoon(state, run);
 }
 
-bool mayEvict(const tables& state, const job_row& job, unsigned priority, reclaim_right right)
+/// @brief Whether the run's job is expected to be completed within its objective.
+bool isInTime(const tables& state, const live_run& run, time_point now)
 {
+    const auto& job = *run.job;
+    const auto slack = slackOf(job, unitOf(state, run.id.task), now);
+    return slack + estimatedRunTime(job, run.id.task.step) >= releaseTimeOf(state, run);
+}
+
+/// Another job of priority 0 would lose as much as the guaranteed one gains, so it gives way only once the reclaim is due.
+bool mayEvict(const tables& state, const live_run& run, unsigned priority, reclaim_right right, time_point now)
+{
+    const auto& job = *run.job;
     if (job.rule.priority > priority)
         return true;
-    return job.rule.priority == 0 && priority == 0 && right != reclaim_right::None
-        && !state.guaranteedJobs.contains(job.job.id);
+    if (job.rule.priority != 0 || priority != 0 || right == reclaim_right::None || state.guaranteedJobs.contains(job.job.id))
+        return false;
+    return right == reclaim_right::Due || !isInTime(state, run, now);
 }
 
 /// @brief The plan so far for one group of workers, and the resources that remain free on these workers under the plan.
@@ -116,7 +128,7 @@
     for (const auto& [id, run] : state.runs) {
         if (isStopExpected(state, run, now) || isAwaited(state, run, right))
             found.expectedFree[run.host->slot] += run.need;
-        if (run.job == nullptr || run.phase == run_phase::Stopping || !mayEvict(state, *run.job, priority, right))
+        if (run.job == nullptr || run.phase == run_phase::Stopping || !mayEvict(state, run, priority, right, now))
             continue;
         const auto unit = unitOf(state, id.task);
         const auto previous = run.job->evictions.find(unit);
--- a/tests/fleet/reclaim_test.cpp
+++ b/tests/fleet/reclaim_test.cpp
@@ -169,3 +169,37 @@
     CHECK(fixture.timeToStart("urgent"));
     CHECK(fixture.core.findJob("batch")->evictions.empty());
 }
+
+// Guards against urgent work that is stopped although the guarantee would have been met by the bound without it.
+TEST_CASE("urgent work that is in time gives way to a guarantee only when that is due", "[core][reclaim][shares]")
+{
+    reclaim_fixture fixture;
+    fixture.racks = { { "w1", "r1" } };
+    fixture.guarantee("holder", 8);
+    fixture.advance();
+    auto other = job("other", "urgent", { step(1, 8, 8000) });
+    other.organisation = "without";
+    fixture.add(other);
+    const auto began = fixture.now;
+    const auto isStopped = [&] { return !fixture.core.findJob("other")->evictions.empty(); };
+    fixture.percentOf = [&](const live_run&) { return secondsSince(began, fixture.now) * 12; };
+
+    SECTION("in time: it continues until the reclaim is due")
+    {
+        fixture.advance(milliseconds(2000));
+        fixture.add(guaranteedJob("within", { step(1, 8) }));
+        fixture.advance(fixture.core.state().limits.reclaimDelay - milliseconds(200));
+        CHECK_FALSE(isStopped());
+        fixture.advance(milliseconds(400));
+        CHECK(isStopped());
+    }
+    SECTION("late: it gives way at once")
+    {
+        fixture.percentOf = [](const live_run&) { return 1.0; };
+        fixture.advance(milliseconds(6000));
+        fixture.add(guaranteedJob("within", { step(1, 8) }));
+        fixture.advance(milliseconds(200));
+        CHECK(isStopped());
+    }
+    CHECK(fixture.timeToStart("within"));
+}
