Capacity that is short goes first to the organisation with the smallest dominant share

Cause: units of one priority were ordered by deadline alone, so the bursts of an organisation that sends most of the work held back the few jobs of the others.

Change: organisation_share keeps the present and recent use of each organisation beyond its guarantee, as dominant shares of the service's capacity. Where at least two organisations have waiting work of one service and priority that does not all fit, the units of one deadline status are placed by the share of their organisation, in steps of 0.05, then as before. A start raises the share at once, so organisations take turns within a decision. Each unit is still tried, so no capacity stays idle.

--- a/lib/libfleet/include/fleet/core/objective.hpp
+++ b/lib/libfleet/include/fleet/core/objective.hpp
@@ -41,6 +41,7 @@
 struct pending_unit {
     unsigned priority = 0;
     deadline_status deadlineStatus = deadline_status::InTime;
+    double share = 0; ///< Share of its organisation in steps, where organisations compete for capacity; else 0.
     double sortKey = 0; ///< Slack in ms while in time, else the estimated work of the whole job in core-seconds.
     unit_id unit;
 
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -4,6 +4,7 @@
 
 #include <fleet/core/eviction.hpp>
 #include <fleet/core/objective.hpp>
+#include <fleet/core/organisation_share.hpp>
 #include <fleet/core/placement.hpp>
 #include <fleet/core/tables.hpp>
 
@@ -134,6 +135,9 @@
     /// @brief Placements that were deferred since the last call.
     std::vector<placement_deferral> takeDeferrals();
 
+    /// @brief Where the last decision followed the shares of organisations.
+    [[nodiscard]] const std::vector<fair_order>& fairOrders() const { return m_turns.orders(); }
+
     /// @brief Runs that were counted as lost since the last call.
     std::vector<run_loss> takeLosses();
 
@@ -181,6 +185,8 @@
     void releaseReservation(const unit_id& unit);
     void releaseExpiredReservations(time_point now);
     [[nodiscard]] std::vector<pending_unit> collectPending(time_point now) const;
+    void considerShares(const std::vector<pending_unit>& pending, time_point now);
+    void placeInTurns(const std::vector<pending_unit>& pending, time_point now);
     [[nodiscard]] placement_request requestFor(const job_row& job, const unit_id& unit, time_point now) const;
     [[nodiscard]] bool canRestartElsewhere(const live_run& run, time_point now) const;
 
@@ -192,6 +198,11 @@
     std::map<unit_id, time_point> m_reservationTriedAt; ///< When a reservation or eviction for a unit last failed.
     std::map<unit_id, deferral_reason> m_lastDeferrals; ///< Repeated failures of a unit are reported once.
     std::vector<placement_deferral> m_deferrals;
+    // Shares of organisations.
+    organisation_usage m_usage;
+    time_point m_usageAdvancedAt;
+    organisation_turns m_turns; ///< Of the last decision.
+
     std::vector<run_loss> m_losses;
     std::set<std::string> m_changed;
     std::vector<effect> m_effects;
--- a/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
+++ b/lib/libfleet/include/fleet/scheduler/fleet_scheduler.hpp
@@ -91,6 +91,7 @@
     void perform(const start_effect& order);
     void perform(const stop_effect& order);
     void report(const placement_deferral& deferral);
+    void report(const fair_order& order);
     void logLosses();
     void sendStart(const start_effect& order);
     void sendStop(const run_id& run);
@@ -117,6 +118,7 @@
     bool m_decisionDue = false;
     bool m_decisionsSuspended = false; ///< The store has not confirmed the epoch within the lease's duration.
     time_point m_nextDecisionAt; ///< Decisions take at most a share of the process's time.
+    std::map<std::pair<std::string, unsigned>, time_point> m_sharesLoggedAt; ///< By service and priority.
     load_counters m_load;
     time_point m_tickedAt;
     oriole::timer_service::subscription_id m_tickSubscription = 0;
--- a/lib/libfleet/source/core/objective.cpp
+++ b/lib/libfleet/source/core/objective.cpp
@@ -127,7 +127,7 @@
     const auto& rule = job.rule;
     const auto objective = objectiveOf(job);
     const auto slack = slackWithin(objective, job, unit, now);
-    pending_unit pending { rule.priority, deadline_status::InTime, static_cast<double>(slack.count()), unit };
+    pending_unit pending { rule.priority, deadline_status::InTime, 0, static_cast<double>(slack.count()), unit };
     if (slack.count() >= 0)
         return pending;
     pending.deadlineStatus
--- a/lib/libfleet/source/core/unit_placement.cpp
+++ b/lib/libfleet/source/core/unit_placement.cpp
@@ -23,6 +23,9 @@
 // Gangs for which room is collected at the same time; each keeps room idle.
 constexpr std::size_t maxCollections = 3;
 
+// While organisations do not compete, their use is sampled at this period.
+constexpr milliseconds usagePeriod { 200 };
+
 // A last attempt is kept from suspect workers for this long at most. The platform allows a job that could run 3 s with nothing
 // at work; while healthy workers could take it, their room may be worth a wait of a task's run time.
 constexpr milliseconds maxLastAttemptWait { 2000 };
@@ -84,6 +87,44 @@
     return pending;
 }
 
+/// With one organisation at work there is nothing to share, and the order of deadlines stays.
+void scheduler_core::considerShares(const std::vector<pending_unit>& pending, time_point now)
+{
+    m_turns = {};
+    const auto organisationOf
+        = [this](const pending_unit& unit) -> const std::string& { return m_state.jobs.at(unit.unit.job).job.organisation; };
+    const bool mayCompete = std::any_of(pending.begin(), pending.end(),
+        [&](const pending_unit& unit) { return organisationOf(unit) != organisationOf(pending.front()); });
+    if (!mayCompete && now - m_usageAdvancedAt < usagePeriod)
+        return;
+    auto capacity = capacityByService(m_state);
+    m_usage.advance(usedByOrganisation(m_state, capacity), now);
+    m_usageAdvancedAt = now;
+    if (mayCompete)
+        m_turns = organisation_turns(pending, m_state, m_usage, std::move(capacity));
+}
+
+/// A unit whose organisation received more since the unit was ranked goes back to its new place, so that nothing is placed
+/// before the turn of an organisation with a smaller share.
+void scheduler_core::placeInTurns(const std::vector<pending_unit>& pending, time_point now)
+{
+    std::set<pending_unit> waiting;
+    for (auto unit : pending) {
+        unit.share = m_turns.shareStepOf(unit, m_state);
+        waiting.insert(waiting.end(), std::move(unit));
+    }
+    while (!waiting.empty()) {
+        auto next = waiting.extract(waiting.begin());
+        auto& unit = next.value();
+        if (const double share = m_turns.shareStepOf(unit, m_state); share > unit.share) {
+            unit.share = share;
+            waiting.insert(std::move(next));
+            continue;
+        }
+        placeStep(unit, now);
+    }
+}
+
 placement_request scheduler_core::requestFor(const job_row& job, const unit_id& unit, time_point now) const
 {
     const auto& step = job.job.spec.steps[unit.step];
@@ -124,8 +165,9 @@
     m_state.guaranteedJobs = findGuaranteedJobs(m_state);
     m_evictionCandidates.clear();
     m_releases.reset();
-    for (auto& entry : collectPending(now))
-        placeStep(entry, now);
+    const auto pending = collectPending(now);
+    considerShares(pending, now);
+    placeInTurns(pending, now);
     releaseCollections();
     releaseExpiredReservations(now);
 }
@@ -382,6 +424,8 @@
         run.placedAt = run.advancedAt = run.windowStartedAt = run.checkpointAt = now;
         m_effects.emplace_back(start_effect {
             run.id, run.worker, run.life, checkpoint, spread, slack, waited, withinGuarantee });
+        if (!withinGuarantee)
+            m_turns.addPlaced(job, run.need);
         addRun(m_state, std::move(run));
     }
     m_evictionCandidates.clear();
--- a/lib/libfleet/source/scheduler/fleet_scheduler.cpp
+++ b/lib/libfleet/source/scheduler/fleet_scheduler.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds maxJobAge { 600'000 };
 
 constexpr milliseconds loadLogPeriod { 1000 };
+constexpr milliseconds sharesLogPeriod { 1000 }; // For each service and priority.
 // After a decision this many times its own duration is left to reports, store writes and the renewal of the lease.
 constexpr int decisionPauseFactor = 4;
 constexpr milliseconds maxDecisionPause { 150 };
@@ -318,6 +319,8 @@
         m_writer.markDirty(job);
     for (const auto& deferral : m_core.takeDeferrals())
         report(deferral);
+    for (const auto& order : m_core.fairOrders())
+        report(order);
     for (const auto& entry : effects)
         std::visit([this](const auto& order) { perform(order); }, entry);
     const auto wholeMs = millisecondsSince(began);
@@ -377,6 +380,22 @@
     m_environment.metrics.counter("oriole_deferrals_total", { { "reason", std::string(toString(deferral.reason)) } }).add();
 }
 
+/// While organisations compete every decision follows their shares, so the line is written once a second at most.
+void fleet_scheduler::report(const fair_order& order)
+{
+    const auto priority = std::to_string(order.priority);
+    m_environment.metrics.counter("oriole_fair_orders_total", { { "service", order.service }, { "priority", priority } }).add();
+    const auto now = m_environment.loop.timers().now();
+    const auto [logged, added] = m_sharesLoggedAt.try_emplace({ order.service, order.priority }, now);
+    if (!added && now - logged->second < sharesLogPeriod)
+        return;
+    logged->second = now;
+    oriole::logEvent(oriole::log_level::Info, "shares_applied",
+        { { "service", order.service }, { "priority", order.priority }, { "organisations", order.organisations },
+            { "units", order.units }, { "smallest", order.smallest }, { "smallest_share", order.smallestShare },
+            { "largest", order.largest }, { "largest_share", order.largestShare } });
+}
+
 void fleet_scheduler::logLosses()
 {
     for (const auto& loss : m_core.takeLosses()) {
