Replay: workers that leave at short notice, takeovers, a load of 53 workers

Nothing played workers that leave, so the cost of the decisions on their runs could not be measured.

The replay draws workers that give a notice of 1.6 to 4 s, serve for a while beyond it and come back as another incarnation. Their runs are lost with them and reported as lost once the lease has expired. It also replaces the scheduler at given times, and has the load of a deployment of about fifty workers. Without departures and takeovers the drawn load is the same as before.

--- a/tests/fleet/load_replay.cpp
+++ b/tests/fleet/load_replay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <ctime>
+#include <memory>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -21,6 +22,9 @@
 constexpr milliseconds checkpointPeriod { 500 };
 constexpr double restoreMs = 600;
 constexpr int lateFactor = 3;
+// A lost run is reported once its lease has expired.
+constexpr milliseconds leaseLength { 4000 };
+constexpr milliseconds agentsReportWithin { 500 };
 
 const time_point origin = time_point(std::chrono::seconds(1000));
 
@@ -42,6 +46,8 @@
     time_point orderedAt;
     double doneMs = 0; ///< Work done, including what a checkpoint carried.
     double savedMs = 0;
+    double restoredMs = 0; ///< Work that its start carried over.
+    double reportedSavedMs = 0; ///< Work that the last reported checkpoint carries.
     double slowdown = 1;
     double restoreLeftMs = 0;
     bool stopping = false;
@@ -53,13 +59,14 @@
     explicit load_player(const replay_load& load)
         : m_load(load)
         , m_random(load.seed)
-        , m_core(core_settings {})
+        , m_core(std::make_unique<scheduler_core>(core_settings {}))
     {
         configuration rules;
         rules.queues = load.queues;
         for (unsigned i = 0; i < load.organisations; ++i)
             rules.organisations.push_back({ "org" + std::to_string(i), {}, load.guaranteedAccelerators });
-        m_core.configure(rules);
+        m_rules = std::move(rules);
+        m_core->configure(m_rules);
         drawArrivals();
     }
 
@@ -125,11 +132,16 @@
     {
         bool news = false;
         while (m_nextArrival < m_arrivals.size() && m_arrivals[m_nextArrival].at <= m_now) {
-            m_core.addJob(m_arrivals[m_nextArrival].job, {}, m_now, m_now);
+            m_core->addJob(m_arrivals[m_nextArrival].job, {}, m_now, m_now);
             m_factors[m_arrivals[m_nextArrival].job.id] = m_arrivals[m_nextArrival].runTimeFactor;
             ++m_nextArrival;
             news = true;
         }
+        departWorkers();
+        if (m_nextTakeover < m_load.takeovers.size() && m_now - origin >= m_load.takeovers[m_nextTakeover]) {
+            ++m_nextTakeover;
+            takeOver();
+        }
         work();
         news = sendReports() || news;
         if (news || m_now - m_decidedAt >= tickPeriod)
@@ -144,7 +156,7 @@
             auto last = entry;
             bool all = true;
             unsigned members = 0;
-            const auto& job = m_core.findJob(first.task.job)->job;
+            const auto& job = m_core->findJob(first.task.job)->job;
             const auto& step = job.spec.steps[first.task.step];
             do {
                 all = all && m_now >= last->second.orderedAt + startDelay && !last->second.stopping;
@@ -191,7 +203,7 @@
 
     void finish(const run_end& end)
     {
-        const auto& step = m_core.findJob(end.id.task.job)->job.spec.steps[end.id.task.step];
+        const auto& step = m_core->findJob(end.id.task.job)->job.spec.steps[end.id.task.step];
         std::string checkpoint;
         if (end.how == run_outcome::Stopped) {
             const double saved = step.checkpointing ? end.run.doneMs : 0;
@@ -207,8 +219,10 @@
 
     bool sendReports()
     {
-        if (m_workers.empty())
+        if (m_workers.empty()) {
             addWorkers();
+            drawDepartures();
+        }
         bool news = false;
         for (auto& [name, worker] : m_workers) {
             if (worker.reportAt > m_now)
@@ -220,20 +234,104 @@
                     report.active.push_back(describe(id, run->second));
             }
             std::erase_if(worker.runs, [this](const run_id& id) { return !m_runs.contains(id); });
-            news = news || m_core.canChangeDecision(name, report);
+            news = news || m_core->canChangeDecision(name, report);
             const double began = processorMs();
-            m_core.applyReport(name, report, m_now);
+            m_core->applyReport(name, report, m_now);
             m_outcome.reportMs.push_back(processorMs() - began);
             worker.reportAt = m_now + reportPeriod;
         }
         return news;
     }
 
-    active_run describe(const run_id& id, const simulated_run& run)
+    void drawDepartures()
+    {
+        // A generator of its own, so that the drawn jobs are the same with and without departures.
+        std::mt19937_64 random(m_load.seed + 7919);
+        const auto draw = [&random](milliseconds from, milliseconds to) {
+            return milliseconds(std::uniform_int_distribution<std::int64_t>(from.count(), to.count())(random));
+        };
+        const auto& plan = m_load.departures;
+        std::vector<std::string> names;
+        for (const auto& [name, worker] : m_workers)
+            names.push_back(name);
+        std::shuffle(names.begin(), names.end(), random);
+        for (unsigned i = 0; i < std::min<std::size_t>(plan.count, names.size()); ++i) {
+            auto& worker = m_workers.at(names[i]);
+            worker.noticeAt = origin + draw(milliseconds(3000), m_load.arrivals);
+            worker.notice = draw(plan.minNotice, plan.maxNotice);
+            worker.leavesAt = *worker.noticeAt + worker.notice + draw(milliseconds(0), plan.maxSurplus);
+        }
+    }
+
+    void departWorkers()
     {
-        const auto& step = m_core.findJob(id.task.job)->job.spec.steps[id.task.step];
+        for (auto& [name, worker] : m_workers) {
+            if (!worker.noticeAt || m_now < *worker.noticeAt)
+                continue;
+            auto& report = worker.report;
+            const auto leftAgo = m_now - worker.leavesAt;
+            if (!report.worker.draining && leftAgo < milliseconds(0)) {
+                report.worker.draining = true;
+                report.worker.drainRemainingMs = worker.notice.count();
+                worker.reportAt = m_now;
+            } else if (report.worker.draining && report.responsive && leftAgo >= milliseconds(0)) {
+                report.responsive = false;
+                report.othersMayRun = true;
+                loseRuns(worker);
+            } else if (!report.responsive && leftAgo >= m_load.departures.absence) {
+                report.responsive = true;
+                report.worker.draining = false;
+                report.worker.drainRemainingMs = 0;
+                report.worker.incarnation = { report.worker.incarnation.instance + "b", 2 };
+                worker.endCount = 0;
+                worker.ended.clear();
+                worker.reportAt = m_now;
+            } else if (report.othersMayRun && leftAgo >= leaseLength) {
+                report.othersMayRun = false;
+                worker.reportAt = m_now;
+                worker.noticeAt.reset();
+            }
+        }
+    }
+
+    /// @brief Another scheduler reads the records; the agents report to it within half a second.
+    void takeOver()
+    {
+        const auto previous = std::exchange(m_core, std::make_unique<scheduler_core>(core_settings {}));
+        m_core->configure(m_rules);
+        for (const auto& [id, job] : previous->state().jobs) {
+            if (job.progress.state == job_state::Completed)
+                m_completedAt.try_emplace(id, job.readySince);
+            m_core->addJob(job.job, job.progress, job.acceptedAt, m_now);
+        }
+        unsigned number = 0;
+        for (auto& [name, worker] : m_workers)
+            worker.reportAt = m_now + milliseconds(number++ * agentsReportWithin.count() / static_cast<std::int64_t>(m_workers.size()));
+    }
+
+    struct simulated_worker;
+
+    void loseRuns(simulated_worker& worker)
+    {
+        for (const auto& id : worker.runs) {
+            const auto run = m_runs.find(id);
+            if (run == m_runs.end())
+                continue;
+            const auto& step = m_core->findJob(id.task.job)->job.spec.steps[id.task.step];
+            const auto& lost = run->second;
+            m_outcome.lostCoreSeconds += (lost.doneMs - std::max(lost.reportedSavedMs, lost.restoredMs)) / 1000 * step.need.weight();
+            ++m_outcome.runsLostWithWorker;
+            m_runs.erase(run);
+        }
+        worker.runs.clear();
+    }
+
+    active_run describe(const run_id& id, simulated_run& run)
+    {
+        const auto& step = m_core->findJob(id.task.job)->job.spec.steps[id.task.step];
         const double totalMs = static_cast<double>(step.runTimeMs) * m_factors.at(id.task.job);
         active_run out { id, {}, std::floor(std::min(100.0, run.doneMs / totalMs * 100)) };
+        run.reportedSavedMs = run.savedMs;
         if (run.savedMs > 0)
             out.checkpoint = std::to_string(static_cast<std::int64_t>(run.savedMs));
         return out;
@@ -249,7 +347,7 @@
             worker.report.worker.labels = { "a", "r" + std::to_string(i / m_load.workersPerRack) };
             worker.report.worker.capacity = m_load.capacity;
             worker.reportAt = m_now + milliseconds(i * reportPeriod.count() / m_load.workers);
-            m_core.applyReport("side-" + std::to_string(i), worker.report, m_now);
+            m_core->applyReport("side-" + std::to_string(i), worker.report, m_now);
             m_workers["side-" + std::to_string(i)] = std::move(worker);
         }
     }
@@ -258,20 +356,20 @@
     {
         m_decidedAt = m_now;
         const double began = processorMs();
-        const auto effects = m_core.decide(m_now, 0);
+        const auto effects = m_core->decide(m_now, 0);
         m_outcome.decisionMs.push_back(processorMs() - began);
         for (const auto& entry : effects)
             std::visit([this](const auto& order) { perform(order); }, entry);
         std::size_t waiting = 0;
-        for (const auto& [id, job] : m_core.state().jobs) {
+        for (const auto& [id, job] : m_core->state().jobs) {
             for (const auto& occurrence : job.progress.occurrences) {
                 for (const auto& task : occurrence.steps.front())
                     waiting += task.status == task_status::Waiting ? 1 : 0;
             }
         }
         m_outcome.mostWaitingTasks = std::max(m_outcome.mostWaitingTasks, waiting);
-        m_core.takeChangedJobs();
-        m_core.takeDeferrals();
+        m_core->takeChangedJobs();
+        m_core->takeDeferrals();
     }
 
     void perform(const start_effect& order)
@@ -283,12 +381,12 @@
         run.orderedAt = m_now;
         run.slowdown = order.slowdown;
         if (!order.checkpoint.empty()) {
-            run.doneMs = run.savedMs = std::stod(order.checkpoint);
+            run.doneMs = run.savedMs = run.restoredMs = std::stod(order.checkpoint);
             run.restoreLeftMs = restoreMs;
         }
         m_runs[order.run] = run;
         m_workers[order.worker].runs.insert(order.run);
-        m_core.startAccepted(order.run, m_now);
+        m_core->startAccepted(order.run, m_now);
     }
 
     void perform(const stop_effect& order)
@@ -296,6 +394,8 @@
         mix("stop", order.run, order.worker);
         if (order.reason == "room for urgent work")
             ++m_outcome.evictedRuns;
+        if (order.reason == "its worker leaves")
+            ++m_outcome.departureStops;
         const auto run = m_runs.find(order.run);
         if (run == m_runs.end() || run->second.stopping)
             return;
@@ -313,7 +413,7 @@
 
     void addOutcome(const arrival& entry)
     {
-        const auto* job = m_core.findJob(entry.job.id);
+        const auto* job = m_core->findJob(entry.job.id);
         const auto& rule = job->rule;
         auto& queue = m_outcome.queues[rule.name];
         const auto& kind = *std::find_if(m_load.kinds.begin(), m_load.kinds.end(), [&](const auto& one) { return one.queue == rule.name; });
@@ -326,7 +426,8 @@
         queue.owed += kind.value * share;
         if (job->progress.state != job_state::Completed)
             return;
-        const auto age = job->readySince - entry.at;
+        const auto completed = m_completedAt.find(entry.job.id);
+        const auto age = (completed == m_completedAt.end() ? job->readySince : completed->second) - entry.at;
         if (age <= objective) {
             ++queue.inTime;
             queue.value += kind.value * share;
@@ -342,11 +443,17 @@
         std::uint64_t endCount = 0;
         std::set<run_id> runs;
         time_point reportAt;
+        std::optional<time_point> noticeAt; ///< Of a worker that leaves, until the lease of its runs has expired.
+        milliseconds notice { 0 };
+        time_point leavesAt;
     };
 
     const replay_load& m_load;
     std::mt19937_64 m_random;
-    scheduler_core m_core;
+    std::unique_ptr<scheduler_core> m_core;
+    configuration m_rules;
+    std::size_t m_nextTakeover = 0;
+    std::map<std::string, time_point> m_completedAt; ///< Of jobs that were complete at a takeover.
     time_point m_now = origin;
     time_point m_decidedAt = origin;
     std::vector<arrival> m_arrivals;
@@ -386,6 +493,23 @@
     return load;
 }
 
+replay_load mediumLoad(double factor)
+{
+    replay_load load;
+    load.workers = 53;
+    load.workersPerRack = 4;
+    load.capacity = { 64'000, 262'144, 8 };
+    load.organisations = 10;
+    load.queues = { { "simulation", "host", "/simulation/", "app", 1, 3, 3, 1200, true },
+        { "quote", "host", "/quote/", "app", 0, 3, 1.5, 300, true }, { "portfolio", "host", "/portfolio/", "app", 2, 3, 3, 3000, true } };
+    load.kinds
+        = { { "simulation", 0.635 * factor, 6, 36, 26'000, 60'000, { 1, 2, 4, 8, 8 }, 8500, 0.5, true, 0.6, 0.45, 3, 0.9 },
+              { "quote", 1.14 * factor, 5, 30, 7500, 20'000, { 1, 2, 4, 8, 8 }, 2500, 0.5, true, 0.8, 0, 4, 0.8 },
+              { "portfolio", 0.21 * factor, 39, 230, 5600, 15'000, { 1 }, 9500, 0.9, false, 0, 0.45, 1, 0.3 } };
+    load.bursts = { { "portfolio", milliseconds(8000), milliseconds(5000), 2.4 }, { "simulation", milliseconds(15'000), milliseconds(4000), 2 } };
+    return load;
+}
+
 replay_outcome replay(const replay_load& load)
 {
     return load_player(load).play();
--- a/tests/fleet/load_replay.hpp
+++ b/tests/fleet/load_replay.hpp
@@ -38,6 +38,15 @@
     double factor = 1;
 };
 
+/// @brief Workers that leave at short notice, serve for a while beyond it, and come back as another incarnation.
+struct departure_plan {
+    unsigned count = 0;
+    milliseconds minNotice { 1600 };
+    milliseconds maxNotice { 4000 };
+    milliseconds maxSurplus { 0 }; ///< A worker serves for up to this much longer than its notice.
+    milliseconds absence { 3000 };
+};
+
 struct replay_load {
     unsigned workers = 160;
     unsigned workersPerRack = 8;
@@ -47,6 +56,8 @@
     std::vector<queue_rule> queues;
     std::vector<job_kind> kinds;
     std::vector<load_burst> bursts;
+    departure_plan departures;
+    std::vector<milliseconds> takeovers; ///< When another scheduler takes over, in ascending order.
     milliseconds arrivals { 30'000 }; ///< Length of the span in which jobs arrive.
     milliseconds drain { 14'000 }; ///< Time after the last arrival.
     std::uint64_t seed = 1;
@@ -55,6 +66,9 @@
 /// @brief The load of a deployment of hundreds of workers: urgent and wide gangs beside batch steps of many tasks.
 replay_load largeLoad(unsigned workers, double factor);
 
+/// @brief The load of a deployment of about fifty workers that is often full: gangs of two priorities beside batch steps.
+replay_load mediumLoad(double factor);
+
 /// @brief What callers received for one queue.
 struct queue_outcome {
     unsigned jobs = 0;
@@ -70,6 +84,8 @@
     double usedCoreSeconds = 0;
     unsigned starts = 0;
     unsigned evictedRuns = 0;
+    unsigned departureStops = 0; ///< Runs stopped because their worker leaves.
+    unsigned runsLostWithWorker = 0;
     std::vector<double> decisionMs; ///< Processor time of each decision.
     std::vector<double> reportMs; ///< Processor time of each report.
     std::size_t mostWaitingTasks = 0;
