Limits for clients at all listeners of oriolefleetd

One client_gate a process carries out the decisions of client_budget for callers, readiness, heartbeats, metrics and the RPC port. The capacity follows from limits.memoryMb and limits.maxFds of the settings. A header over 16,384 bytes gets 431; a body without memory or time gets 503 with Retry-After before it is handled; an answer that is not taken in 15 s ends its connection; an RPC message has 15 s and 8 MiB.

--- a/lib/libfleet/include/fleet/agent/agent_server.hpp
+++ b/lib/libfleet/include/fleet/agent/agent_server.hpp
@@ -12,12 +12,14 @@
 
 namespace fleet {
 
+class client_gate;
+
 class agent_server {
 public:
     /// @param name Name under which the agent announces itself; schedulers that look for another agent are turned away.
     /// @param address IP:PORT to listen on.
     agent_server(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics, const std::string& name,
-        const std::string& address);
+        const std::string& address, std::shared_ptr<client_gate> clients = nullptr);
     ~agent_server();
     agent_server(const agent_server&) = delete;
     agent_server& operator=(const agent_server&) = delete;
--- a/lib/libfleet/include/fleet/entry/entry_peers.hpp
+++ b/lib/libfleet/include/fleet/entry/entry_peers.hpp
@@ -14,6 +14,8 @@
 
 namespace fleet {
 
+class client_gate;
+
 using oriole::milliseconds;
 
 /// @brief A caller's request as it is relayed from one entry to another.
@@ -51,7 +53,8 @@
 /// @brief RPC server for other entries and for agents.
 class entry_server {
 public:
-    entry_server(oriole::event_loop& loop, entry_request_handler& handler, const std::string& address);
+    entry_server(oriole::event_loop& loop, entry_request_handler& handler, const std::string& address,
+        std::shared_ptr<client_gate> clients = nullptr);
     ~entry_server();
     entry_server(const entry_server&) = delete;
     entry_server& operator=(const entry_server&) = delete;
--- a/lib/libfleet/include/fleet/http/http_listener.hpp
+++ b/lib/libfleet/include/fleet/http/http_listener.hpp
@@ -2,6 +2,8 @@
 /// @brief HTTP server on the event loop. Responses are JSON unless the handler sets another content type.
 #pragma once
 
+#include <fleet/http/client_gate.hpp>
+
 #include <oriole/helpers/event_loop.hpp>
 
 #include <kj/compat/http.h>
@@ -34,6 +36,7 @@
     std::string address; ///< IP:PORT.
     std::vector<std::string> keptHeaders;
     std::uint64_t maxBodyBytes = 1U << 20U;
+    std::shared_ptr<client_gate> clients {}; ///< Shared by the listeners of a process; a spacious one of its own if null.
 };
 
 /// @brief HTTP server on one address. The handler responds to each request exactly once, synchronously or later.
--- a/lib/libfleet/source/agent/agent_server.cpp
+++ b/lib/libfleet/source/agent/agent_server.cpp
@@ -160,8 +160,8 @@
 
 struct agent_server::state {
     state(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics, const std::string& name,
-        const std::string& address)
-        : listener(loop, address, kj::heap<agent_service>(loop, agent, metrics, name))
+        const std::string& address, std::shared_ptr<client_gate> clients)
+        : listener(loop, address, kj::heap<agent_service>(loop, agent, metrics, name), std::move(clients))
     {
     }
 
@@ -169,8 +169,8 @@
 };
 
 agent_server::agent_server(oriole::event_loop& loop, worker_agent& agent, oriole::metrics_registry& metrics,
-    const std::string& name, const std::string& address)
-    : m_state(std::make_unique<state>(loop, agent, metrics, name, address))
+    const std::string& name, const std::string& address, std::shared_ptr<client_gate> clients)
+    : m_state(std::make_unique<state>(loop, agent, metrics, name, address, std::move(clients)))
 {
 }
 
--- a/lib/libfleet/source/entry/entry_peers.cpp
+++ b/lib/libfleet/source/entry/entry_peers.cpp
@@ -62,16 +62,17 @@
 } // namespace
 
 struct entry_server::state {
-    state(oriole::event_loop& loop, entry_request_handler& handler, const std::string& address)
-        : listener(loop, address, kj::heap<entry_service>(handler))
+    state(oriole::event_loop& loop, entry_request_handler& handler, const std::string& address, std::shared_ptr<client_gate> clients)
+        : listener(loop, address, kj::heap<entry_service>(handler), std::move(clients))
     {
     }
 
     rpc_listener listener;
 };
 
-entry_server::entry_server(oriole::event_loop& loop, entry_request_handler& handler, const std::string& address)
-    : m_state(std::make_unique<state>(loop, handler, address))
+entry_server::entry_server(
+    oriole::event_loop& loop, entry_request_handler& handler, const std::string& address, std::shared_ptr<client_gate> clients)
+    : m_state(std::make_unique<state>(loop, handler, address, std::move(clients)))
 {
 }
 
--- a/lib/liboriole/source/helpers/event_loop.cpp
+++ b/lib/liboriole/source/helpers/event_loop.cpp
@@ -12,6 +12,9 @@
 
 // Timers that are due within this time of each other share a wake-up.
 constexpr milliseconds timerResolution { 2 };
+// Callbacks that run in a row before the loop looks for input and due timers. By default it does so only when nothing is
+// left to run, so that clients with many pipelined requests kept all others waiting for 4 s.
+constexpr unsigned callbacksBetweenPolls = 64;
 // Without a timer the loop only wakes for messages, and now and then.
 constexpr milliseconds longestSleep { 60'000 };
 
@@ -33,6 +36,7 @@
     , m_stopped(kj::newPromiseAndFulfiller<void>())
     , m_tasks(*this)
 {
+    m_io.waitScope.setBusyPollInterval(callbacksBetweenPolls);
     m_timers.drive([] { return std::chrono::steady_clock::now(); },
         [this](time_point due) {
             if (due < m_sleepsUntil && m_wakePump)
--- a/main/oriolefleetd/source/agent_process.cpp
+++ b/main/oriolefleetd/source/agent_process.cpp
@@ -29,14 +29,15 @@
     agent_process(const platform::node_settings& settings, const process_options& options)
         : m_settings(settings)
         , m_address(announcedAddress(settings, options))
+        , m_clients(openClientGate(m_loop, m_metrics, settings))
         , m_store(m_loop, settings.storeAddress)
         , m_agent(m_loop.timers(), bootClock, agentTiming(settings),
               [this](const fleet::worker_heartbeat& worker) { return std::make_unique<platform::runtime_adapter>(m_loop, worker); })
-        , m_heartbeats(m_loop, settings.heartbeatAddress, m_agent)
-        , m_server(m_loop, m_agent, m_metrics, settings.name, settings.rpcAddress)
+        , m_heartbeats(m_loop, settings.heartbeatAddress, m_agent, m_clients)
+        , m_server(m_loop, m_agent, m_metrics, settings.name, settings.rpcAddress, m_clients)
         , m_entries(m_loop, { settings.rpcAddress, m_address })
         , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { m_entries.add(changed.seeds); })
-        , m_metricsListener(openMetrics(m_loop, m_metrics, settings, options))
+        , m_metricsListener(openMetrics(m_loop, m_metrics, settings, options, m_clients))
     {
         m_entries.add(settings.seeds);
     }
@@ -79,6 +80,7 @@
     std::string m_address; ///< At which entries reach this agent.
     oriole::event_loop m_loop;
     oriole::metrics_registry m_metrics;
+    std::shared_ptr<fleet::client_gate> m_clients;
     platform::store_adapter m_store;
     fleet::worker_agent m_agent;
     platform::heartbeat_api m_heartbeats;
--- a/main/oriolefleetd/source/entry_process.cpp
+++ b/main/oriolefleetd/source/entry_process.cpp
@@ -42,6 +42,7 @@
 public:
     entry_process(const platform::node_settings& settings, const process_options& options)
         : m_settings(settings)
+        , m_clients(openClientGate(m_loop, m_metrics, settings))
         , m_store(m_loop, settings.storeAddress)
         , m_control(m_store, m_loop.timers(), bootClock, settings.failureDomains)
         , m_desk(m_store, m_loop.timers())
@@ -49,13 +50,13 @@
         , m_entry({ m_loop, m_store, m_control, m_metrics, bootClock, m_peers },
               { settings.name, announcedAddress(settings, options), settings.cores }, schedulerSettings(settings))
         , m_api({ m_loop, m_desk, m_control, m_peers, m_metrics, bootClock, maxViewAge, settings.maxRecordBytes })
-        , m_server(m_loop, *this, settings.rpcAddress)
-        , m_callers(m_loop, { settings.callerAddress, { "X-Key" }, 1U << 20U },
+        , m_server(m_loop, *this, settings.rpcAddress, m_clients)
+        , m_callers(m_loop, { settings.callerAddress, { "X-Key" }, 1U << 20U, m_clients },
               [this](const fleet::incoming_request& request, const auto& respond) { m_api.handle(request, respond); })
-        , m_ready(m_loop, { settings.readyAddress, {}, 1024 },
+        , m_ready(m_loop, { settings.readyAddress, {}, 1024, m_clients },
               [this](const fleet::incoming_request&, const auto& respond) { respond({ isReady() ? 200U : 503U, "{}", {} }); })
         , m_monitor(m_loop, options.settingsFile, settings, [this](const auto& changed) { applySettings(changed); })
-        , m_metricsListener(openMetrics(m_loop, m_metrics, settings, options))
+        , m_metricsListener(openMetrics(m_loop, m_metrics, settings, options, m_clients))
     {
         m_peers.add(settings.seeds);
     }
@@ -110,6 +111,7 @@
     const platform::node_settings& m_settings;
     oriole::event_loop m_loop;
     oriole::metrics_registry m_metrics;
+    std::shared_ptr<fleet::client_gate> m_clients;
     platform::store_adapter m_store;
     platform::operator_channel m_control;
     fleet::job_service m_desk;
--- a/tests/fleet/http_test.cpp
+++ b/tests/fleet/http_test.cpp
@@ -143,6 +143,41 @@
     CHECK(fixture.served == 0);
 }
 
+// Guards against headers that take memory beyond the operators' limit, and against a limit that ordinary headers reach.
+TEST_CASE("a header over 16,384 bytes is refused and one below is served", "[http][clients]")
+{
+    listener_fixture fixture;
+    raw_client peer(fixture.loop, testPort);
+    const auto withHeader = [](std::size_t bytes) { return "GET / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(bytes, 'x') + "\r\n\r\n"; };
+    CHECK(peer.send(withHeader(16'300)).find("200 OK") != std::string::npos);
+    const auto answer = peer.send(withHeader(17'000));
+    CHECK(answer.find("HTTP/1.1 431") != std::string::npos);
+    CHECK(answer.find("not-run") != std::string::npos);
+    CHECK(fixture.served == 1);
+}
+
+// Guards against a body that finds no memory and is cut off, so that its caller can't tell whether the request ran.
+TEST_CASE("a request whose body finds no memory is refused before it is handled", "[http][clients]")
+{
+    oriole::event_loop loop;
+    unsigned served = 0;
+    http_listener listener(loop, { "127.0.0.1:" + std::to_string(testPort), {}, 1000, client_gate::create(loop, { 4, 1, 3000 }, nullptr) },
+        [&](const incoming_request&, const http_listener::responder& respond) {
+            ++served;
+            respond({});
+        });
+    loop.after(milliseconds(5)).wait(loop.io().waitScope);
+    raw_client peer(loop, testPort);
+    const std::string head = "POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: ";
+    const auto answer = peer.send(head + "900\r\n\r\n" + std::string(900, 'x'));
+    CHECK(answer.find("HTTP/1.1 503") != std::string::npos);
+    CHECK(answer.find("Retry-After: 1") != std::string::npos);
+    CHECK(answer.find("not-run") != std::string::npos);
+    CHECK(served == 0);
+    for (unsigned i = 0; i < 5; ++i)
+        CHECK(peer.send(head + "100\r\n\r\n" + std::string(100, 'x'), milliseconds(50)).find("200 OK") != std::string::npos);
+}
+
 TEST_CASE("a client distinguishes requests that have not run from those that may have run", "[http]")
 {
     listener_fixture fixture;
