--- a/lib/libfleet/include/fleet/core/objective.hpp
+++ b/lib/libfleet/include/fleet/core/objective.hpp
@@ -30,6 +30,10 @@
 /// @brief Expected core-seconds of all tasks, with accelerators converted to cores.
 double workOf(const job_row& job);
 
+/// @brief A job counts as late for up to this many times its objective; after that its value no longer depends on when it
+/// completes.
+constexpr int lateFactor = 3;
+
 /// @brief State of a job's completion objective.
 enum class deadline_status {
     InTime, ///< The objective can still be met.
--- a/lib/libfleet/include/fleet/http/client_gate.hpp
+++ b/lib/libfleet/include/fleet/http/client_gate.hpp
@@ -64,6 +64,9 @@
 
     admission admit(client_protocol protocol);
 
+    /// @brief Counts a client's violation of a limit in the log and the metrics.
+    void note(const std::string& reason);
+
     client_gate(oriole::event_loop& loop, client_capacity capacity, oriole::metrics_registry* metrics);
 
 private:
@@ -71,7 +74,6 @@
 
     void giveUp(const client_budget::decision& outcome);
     void closeConnection(client_budget::connection_id id);
-    void note(const std::string& reason);
     void logCounts();
     void updateGauges();
 
--- a/lib/libfleet/source/core/backlog_summary.cpp
+++ b/lib/libfleet/source/core/backlog_summary.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds releaseHorizon { 10'000 };
 // Work that the capacity of its service does in this time delays no job by more than that.
 constexpr double idleSeconds = 0.5;
-// As in `classify`: a completion after so many times the objective is of no use.
-constexpr double lateFactor = 3;
 constexpr double noticeableWorkShare = 0.25;
 constexpr double noticeableCapacityShare = 0.1;
 
--- a/lib/libfleet/source/core/load_admission.cpp
+++ b/lib/libfleet/source/core/load_admission.cpp
@@ -15,8 +15,6 @@
 
 // The scheduler writes at least every 3 s while work waits; two writes may fail before its record counts as old.
 constexpr milliseconds maxBacklogAge { 8000 };
-// A job completed later than this many times its objective has no value.
-constexpr int lastUsefulFactor = 3;
 // Declared run times are off by a factor whose logarithm has a standard deviation of 0.5 to 0.9: 2 is one to 1.4 deviations.
 constexpr double doubtFactor = 2;
 // Waits are limited to this, so that they can be added and logged.
@@ -157,7 +155,7 @@
 {
     load_decision decision;
     decision.path = criticalPath(request.job.spec);
-    decision.lastUseful = objectiveOf(request.job.spec, request.queue) * lastUsefulFactor;
+    decision.lastUseful = objectiveOf(request.job.spec, request.queue) * lateFactor;
     if (mayBeGuaranteed(request)) {
         decision.verdict = load_verdict::WithinGuarantee;
         return decision;
--- a/lib/libfleet/source/core/objective.cpp
+++ b/lib/libfleet/source/core/objective.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// A job counts as late for up to three times its objective; after that its value no longer depends on when it completes.
-constexpr int lateFactor = 3;
-
 std::vector<milliseconds> declaredRunTimes(const job_spec& spec)
 {
     std::vector<milliseconds> times;
--- a/lib/libfleet/source/http/http_listener.cpp
+++ b/lib/libfleet/source/http/http_listener.cpp
@@ -223,7 +223,7 @@
         if (error.getType() == kj::Exception::Type::DISCONNECTED)
             return kj::READY_NOW;
         // Failures of the request handler are answered in runHandler; this error occurred earlier, while reading the request.
-        oriole::logEvent(oriole::log_level::Info, "request_unreadable", { { "error", error.getDescription().cStr() } });
+        clients->note("request unreadable");
         KJ_IF_MAYBE (open, response)
             return sendResponse(*open, *table, { 400, errorBody("malformed request"), {} });
         return kj::READY_NOW;
