--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,8 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/6/case.cpp review/7/case.cpp review/8/case.cpp review/9/case.cpp review/10/case.cpp; do
-    [ -f "$source" ] || continue
-    number=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -Wall -Wextra -o "target/review-2/case$number" "$source" -pthread
+for number in 6 7 8 9 10; do
+    [ -f "review/$number/case.cpp" ] || continue
+    g++ -std=c++20 -O1 -Wall -Wextra -o "target/review-2/case$number" "review/$number/case.cpp" -pthread
 done
