--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -5,13 +5,13 @@
 
 int main(int, char** arguments)
 {
-    return runCase(arguments, 4, [](Deployment& deployment) {
+    return runCase(arguments, 4, [](small_deployment& deployment) {
         const std::string key = "d4a3hwrr6x73d3zji9n7";
         const std::string id = "5c0e7a21d94b36f8";
-        deployment.world.plan = [id](const std::string& task, unsigned) { return task.starts_with(id) ? Plan { 4, "failed" } : Plan { 0.5, "done" }; };
-        const auto kept = Deployment::route("r-kept", "/kept/", 1, 1);
-        const auto dropped = Deployment::route("r-dropped", "/once/", 1, 1);
-        const auto tenants = json::array({ Deployment::tenant("kaje80", key) });
+        deployment.world.plan = [id](const std::string& task, unsigned) { return task.starts_with(id) ? run_plan { 4, "failed" } : run_plan { 0.5, "done" }; };
+        const auto kept = small_deployment::route("r-kept", "/kept/", 1, 1);
+        const auto dropped = small_deployment::route("r-dropped", "/once/", 1, 1);
+        const auto tenants = json::array({ small_deployment::tenant("kaje80", key) });
         deployment.configure(7, json::array({ kept, dropped }), tenants);
         deployment.start();
         if (!deployment.waitUntilServing("/kept/", key))
--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -16,9 +16,9 @@
 namespace review {
 
 /// What the case records: what was sent, answered and run.
-class Record {
+class case_record {
 public:
-    explicit Record(const std::string& path)
+    explicit case_record(const std::string& path)
         : m_file(path)
     {
     }
@@ -36,7 +36,7 @@
     std::ofstream m_file;
 };
 
-struct Run {
+struct run_row {
     std::string task; // ID.K.STEP.INDEX
     unsigned attempt = 0;
     std::string minion;
@@ -47,18 +47,18 @@
 };
 
 /// How long a run works, and how it ends by itself. Without an end it works until it is stopped.
-struct Plan {
+struct run_plan {
     double work = 1;
     std::string how = "done";
 };
 
 /// What minions know of jobs, and what has run. One lock for all minions.
-struct World {
+struct shared_world {
     std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, json> jobs; // By ID, as its client sent it.
-    std::vector<Run> runs;
-    std::function<Plan(const std::string& task, unsigned attempt)> plan = [](const std::string&, unsigned) { return Plan {}; };
+    std::vector<run_row> runs;
+    std::function<run_plan(const std::string& task, unsigned attempt)> plan = [](const std::string&, unsigned) { return run_plan {}; };
     std::map<std::pair<std::string, unsigned>, std::pair<std::set<std::string>, double>> gangs; // Members that came, and when the last did.
 
     /// ID, K, STEP and INDEX of a task's name.
@@ -86,21 +86,21 @@
 constexpr double holdMax = 6;
 constexpr double gangTimeout = 3;
 
-class Minion {
+class minion_standin {
 public:
-    struct Settings {
+    struct minion_settings {
         std::string id, ip, zone, rack, agentIp;
         int port = 8529;
         std::int64_t cpu = 128000, memMb = 524288, gpu = 8;
     };
 
-    Minion(World& world, Record& record, Settings settings)
+    minion_standin(shared_world& world, case_record& record, minion_settings settings)
         : m_world(world)
         , m_record(record)
         , m_settings(std::move(settings))
     {
         m_born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-        serveHttp(m_settings.ip, m_settings.port, [this](const Request& request) { return handle(request); });
+        serveHttp(m_settings.ip, m_settings.port, [this](const http_call& request) { return handle(request); });
         std::thread([this] {
             while (true) {
                 sleepSeconds(0.01);
@@ -127,20 +127,20 @@
         m_active.clear();
     }
 
-    const Settings& settings() const { return m_settings; }
+    const minion_settings& settings() const { return m_settings; }
 
 private:
-    struct Active {
+    struct active_row {
         std::size_t record;
         std::string task;
         unsigned attempt;
-        Plan plan;
+        run_plan plan;
         double came;
         double workStart; // -1: a gang that is not complete yet.
         double stopsAt = -1;
         std::int64_t cpu, memMb, gpu;
     };
-    struct End {
+    struct end_row {
         std::uint64_t number;
         std::size_t record;
     };
@@ -156,15 +156,15 @@
         call(m_settings.agentIp, 8526, "PUT", "/api/instances/" + m_settings.id, {}, body.dump(), 1);
     }
 
-    Response answer(int status, json body)
+    http_reply answer(int status, json body)
     {
         body["clockMs"] = clockMs();
         body["born"] = m_born;
         return { status, body.dump() };
     }
-    Response refuse(const char* reason) { return answer(409, { { "reason", reason } }); }
+    http_reply refuse(const char* reason) { return answer(409, { { "reason", reason } }); }
 
-    Response handle(const Request& request)
+    http_reply handle(const http_call& request)
     {
         if (m_gone)
             return { 0, "", false };
@@ -194,7 +194,7 @@
             m_leaseEnd = std::max(m_leaseEnd, std::min(body["deadlineMs"].get<std::int64_t>(), clockMs() + static_cast<std::int64_t>(holdMax * 1000)));
     }
 
-    Response start(const json& body)
+    http_reply start(const json& body)
     {
         const auto task = body.at("taskId").get<std::string>();
         const auto attempt = body.at("attempt").get<unsigned>();
@@ -219,7 +219,7 @@
             return refuse("room");
         m_world.runs.push_back({ task, attempt, m_settings.id, seconds(), -1, "", -1 });
         m_record.line("minion " + m_settings.id + " starts " + task + " attempt " + std::to_string(attempt));
-        Active active { m_world.runs.size() - 1, task, attempt, m_world.plan(task, attempt), seconds(), seconds(), -1, cpu, memMb, gpu };
+        active_row active { m_world.runs.size() - 1, task, attempt, m_world.plan(task, attempt), seconds(), seconds(), -1, cpu, memMb, gpu };
         if (step.value("gang", false)) {
             active.workStart = -1;
             auto& gang = m_world.gangs[{ task.substr(0, task.rfind('.')), attempt }];
@@ -231,7 +231,7 @@
         return answer(200, json::object());
     }
 
-    Response stop(const json& body)
+    http_reply stop(const json& body)
     {
         const auto task = body.at("taskId").get<std::string>();
         const auto attempt = body.at("attempt").get<unsigned>();
@@ -245,11 +245,11 @@
         return answer(200, json::object());
     }
 
-    Response hold(const json& body, std::unique_lock<std::mutex>& lock)
+    http_reply hold(const json& body, std::unique_lock<std::mutex>& lock)
     {
         extend(body);
         const auto seen = body.value("lastSeen", std::uint64_t { 0 });
-        std::erase_if(m_ends, [&](const End& end) {
+        std::erase_if(m_ends, [&](const end_row& end) {
             if (end.number > seen)
                 return false;
             m_world.runs[end.record].noted = seconds();
@@ -269,7 +269,7 @@
         return answer(200, { { "active", active }, { "finished", finished } });
     }
 
-    void finish(const Active& active, const std::string& how)
+    void finish(const active_row& active, const std::string& how)
     {
         auto& run = m_world.runs[active.record];
         run.end = seconds();
@@ -283,7 +283,7 @@
     void tick()
     {
         const double now = seconds();
-        std::erase_if(m_active, [&](Active& active) {
+        std::erase_if(m_active, [&](active_row& active) {
             if (active.workStart < 0) {
                 const auto& gang = m_world.gangs[{ active.task.substr(0, active.task.rfind('.')), active.attempt }];
                 if (gang.second > 0)
@@ -305,24 +305,24 @@
         });
     }
 
-    World& m_world;
-    Record& m_record;
-    Settings m_settings;
+    shared_world& m_world;
+    case_record& m_record;
+    minion_settings m_settings;
     std::int64_t m_born = 0;
     std::atomic<bool> m_gone { false };
     std::uint64_t m_sequence = 0;
     std::uint64_t m_token = 0;
     std::int64_t m_leaseEnd = 0;
     std::uint64_t m_lastEnd = 0;
-    std::vector<Active> m_active;
-    std::vector<End> m_ends;
+    std::vector<active_row> m_active;
+    std::vector<end_row> m_ends;
     std::map<std::string, unsigned> m_highest;
 };
 
 /// A process of the project, started with a command of the deploy file.
-class Program {
+class child_program {
 public:
-    Program(const std::string& role, const std::string& settingsFile, const std::string& log)
+    child_program(const std::string& role, const std::string& settingsFile, const std::string& log)
         : m_role(role)
         , m_settings(settingsFile)
         , m_log(log)
@@ -368,16 +368,16 @@
 
 constexpr int callerPort = 8521;
 
-class Deployment {
+class small_deployment {
 public:
-    World world;
-    Record record;
-    std::unique_ptr<Store> store;
-    std::vector<std::unique_ptr<Minion>> minions;
-    std::vector<std::unique_ptr<Program>> entries;
-    std::vector<std::unique_ptr<Program>> agents;
-
-    Deployment(const std::string& recordFile, int minionCount)
+    shared_world world;
+    case_record record;
+    std::unique_ptr<store_standin> store;
+    std::vector<std::unique_ptr<minion_standin>> minions;
+    std::vector<std::unique_ptr<child_program>> entries;
+    std::vector<std::unique_ptr<child_program>> agents;
+
+    small_deployment(const std::string& recordFile, int minionCount)
         : record(recordFile)
     {
         processStart();
@@ -390,7 +390,7 @@
         for (int attempt = 0; !store; ++attempt) {
             m_net = "127." + std::to_string(20 + (getpid() + attempt) % 200) + "." + std::to_string(1 + (getpid() / 200) % 250) + ".";
             try {
-                store = std::make_unique<Store>(ip(200), 8524);
+                store = std::make_unique<store_standin>(ip(200), 8524);
             } catch (const std::exception&) {
                 if (attempt > 50)
                     throw;
@@ -436,8 +436,8 @@
             settings["service"] = "desk";
             settings["limits"] = { { "cpuQuota", 0.15 }, { "cpuCores", 1 }, { "memoryMb", 128 }, { "maxFds", 4096 }, { "linkMbps", 1000.0 }, { "diskMb", 0 } };
             agents.push_back(launch("agent", settings));
-            minions.push_back(std::make_unique<Minion>(world, record,
-                Minion::Settings { "i-" + std::to_string(100 + i), agentIp, zone, "r" + std::to_string(1 + i % 3) + "-1", agentIp }));
+            minions.push_back(std::make_unique<minion_standin>(world, record,
+                minion_standin::minion_settings { "i-" + std::to_string(100 + i), agentIp, zone, "r" + std::to_string(1 + i / 2) + "-1", agentIp }));
         }
     }
 
@@ -469,15 +469,15 @@
         return out;
     }
 
-    Answer send(std::size_t entry, const std::string& method, const std::string& path, const std::string& key, const std::string& body = {})
+    call_answer send(std::size_t entry, const std::string& method, const std::string& path, const std::string& key, const std::string& body = {})
     {
-        const auto answer = call(entryIp(entry), callerPort, method, path, headers(key), body, 3);
+        auto answer = call(entryIp(entry), callerPort, method, path, headers(key), body, 3);
         record.line("client " + method + " " + path + " at entry " + std::to_string(entry) + " -> "
             + (answer.status == 0 ? std::string("no answer") : std::to_string(answer.status) + " " + answer.body));
         return answer;
     }
 
-    Answer submit(std::size_t entry, const std::string& prefix, const std::string& id, const std::string& key, const json& job)
+    call_answer submit(std::size_t entry, const std::string& prefix, const std::string& id, const std::string& key, const json& job)
     {
         {
             const std::lock_guard lock(world.mutex);
@@ -494,10 +494,10 @@
         return json::parse(answer.body).value("state", "");
     }
 
-    std::vector<Run> runsOf(const std::string& id)
+    std::vector<run_row> runsOf(const std::string& id)
     {
         const std::lock_guard lock(world.mutex);
-        std::vector<Run> out;
+        std::vector<run_row> out;
         for (const auto& run : world.runs) {
             if (run.task.starts_with(id + "."))
                 out.push_back(run);
@@ -548,13 +548,13 @@
                     { "valueBytes", 1048576 }, { "ttlMinMs", 1000 } } } };
     }
 
-    std::unique_ptr<Program> launch(const std::string& role, json settings)
+    std::unique_ptr<child_program> launch(const std::string& role, json settings)
     {
         const auto name = settings.at("nodeName").get<std::string>();
         settings["role"] = role;
         const auto file = m_folder + "/" + name + ".json";
         std::ofstream(file) << settings.dump();
-        return std::make_unique<Program>(role, file, m_folder + "/" + name + ".log");
+        return std::make_unique<child_program>(role, file, m_folder + "/" + name + ".log");
     }
 
     std::string m_folder;
@@ -569,13 +569,13 @@
 }
 
 /// Runs a case and ends the process. What goes wrong in the case itself exits with 2.
-inline int runCase(char** arguments, int minionCount, const std::function<int(Deployment&)>& body)
+inline int runCase(char** arguments, int minionCount, const std::function<int(small_deployment&)>& body)
 {
     // Threads of the stand-ins use it until the process ends, so it is not destroyed.
-    Deployment* deployment = nullptr;
+    small_deployment* deployment = nullptr;
     int result = 2;
     try {
-        deployment = new Deployment(arguments[1], minionCount);
+        deployment = new small_deployment(arguments[1], minionCount);
         result = body(*deployment);
         if (result == 2)
             deployment->record.line("the case could not run");
--- a/review/standins-2/net.hpp
+++ b/review/standins-2/net.hpp
@@ -36,14 +36,14 @@
         std::this_thread::sleep_for(std::chrono::duration<double>(duration));
 }
 
-struct Request {
+struct http_call {
     std::string method;
     std::string target;
     std::map<std::string, std::string> headers; // Names in lower case.
     std::string body;
 };
 
-struct Response {
+struct http_reply {
     int status = 200;
     std::string body = "{}";
     bool answered = true; // False: the connection returns nothing further.
@@ -66,9 +66,9 @@
 }
 
 /// Reads one message (request or response). Returns false when the peer closed or the time ran out.
-class MessageReader {
+class message_reader {
 public:
-    explicit MessageReader(int fd)
+    explicit message_reader(int fd)
         : m_fd(fd)
     {
     }
@@ -142,7 +142,7 @@
 }
 
 /// Serves HTTP on one address until the process ends.
-inline void serveHttp(const std::string& ip, int port, std::function<Response(const Request&)> handle)
+inline void serveHttp(const std::string& ip, int port, std::function<http_reply(const http_call&)> handle)
 {
     const int listener = listenOn(ip, port);
     std::thread([listener, handle = std::move(handle)] {
@@ -153,9 +153,9 @@
             const int on = 1;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
             std::thread([fd, handle] {
-                MessageReader reader(fd);
+                message_reader reader(fd);
                 std::string first;
-                Request request;
+                http_call request;
                 while (reader.read(first, request.headers, request.body)) {
                     const auto space = first.find(' ');
                     request.method = first.substr(0, space);
@@ -177,13 +177,13 @@
     }).detach();
 }
 
-struct Answer {
+struct call_answer {
     int status = 0; // 0: no answer.
     std::string body;
 };
 
 /// One call on a connection of its own. Status 0: no complete answer within the time.
-inline Answer call(const std::string& ip, int port, const std::string& method, const std::string& target,
+inline call_answer call(const std::string& ip, int port, const std::string& method, const std::string& target,
     const std::map<std::string, std::string>& headers, const std::string& body, double timeout)
 {
     const double until = seconds() + timeout;
@@ -192,17 +192,17 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
-    Answer answer;
+    call_answer answer;
     if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0) {
         std::string text = method + " " + target + " HTTP/1.1\r\n";
         if (!headers.contains("Host"))
             text += "Host: " + ip + ":" + std::to_string(port) + "\r\n";
         for (const auto& [name, value] : headers)
-            text += name + ": " + value + "\r\n";
+            text.append(name).append(": ").append(value).append("\r\n");
         if (!body.empty() || method == "POST" || method == "PUT")
             text += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
         text += "\r\n" + body;
-        MessageReader reader(fd);
+        message_reader reader(fd);
         std::string first;
         std::map<std::string, std::string> answered;
         if (sendAll(fd, text) && reader.read(first, answered, answer.body, until - seconds()))
--- a/review/standins-2/store.hpp
+++ b/review/standins-2/store.hpp
@@ -59,18 +59,18 @@
     return out;
 }
 
-class Store {
+class store_standin {
 public:
     /// What becomes of a transaction that writes: it is carried out and answered, or not answered and carried out after `late` seconds.
-    struct Fate {
+    struct write_fate {
         bool answered = true;
         double late = 0;
     };
-    using FateOf = std::function<Fate(const json& transaction)>;
+    using fate_function = std::function<write_fate(const json& transaction)>;
 
-    Store(const std::string& ip, int port)
+    store_standin(const std::string& ip, int port)
     {
-        serveHttp(ip, port, [this](const Request& request) { return handle(request); });
+        serveHttp(ip, port, [this](const http_call& request) { return handle(request); });
         std::thread([this] {
             while (true) {
                 sleepSeconds(0.02);
@@ -80,7 +80,7 @@
     }
 
     /// Decides for each transaction that writes; by default all are answered.
-    void setFate(FateOf fate)
+    void setFate(fate_function fate)
     {
         const std::lock_guard lock(m_mutex);
         m_fate = std::move(fate);
@@ -105,13 +105,13 @@
     int transactions() const { return m_transactions; }
 
 private:
-    struct Item {
+    struct stored_item {
         std::string value;
         std::int64_t revision = 0;
         std::int64_t created = 0;
         std::int64_t lease = 0;
     };
-    struct Lease {
+    struct stored_lease {
         double ttl = 0;
         double end = 0;
     };
@@ -130,12 +130,12 @@
         return out;
     }
 
-    static json show(const std::string& key, const Item& item)
+    static json show(const std::string& key, const stored_item& item)
     {
         return { { "key", key }, { "value", item.value }, { "revision", item.revision }, { "created", item.created }, { "lease", item.lease } };
     }
 
-    Response handle(const Request& request)
+    http_reply handle(const http_call& request)
     {
         sleepSeconds(0.004); // As the pages have it.
         const auto path = request.target.substr(0, request.target.find('?'));
@@ -144,7 +144,7 @@
             return watch(query.at("prefix"), std::stoll(query.at("after")), std::stod(query.at("waitMs")) / 1000);
         if (path == "/api/kv-txn") {
             const auto transaction = json::parse(request.body);
-            Fate fate;
+            write_fate fate;
             {
                 const std::lock_guard lock(m_mutex);
                 const bool writes = !transaction.value("write", json::array()).empty() || !transaction.value("remove", json::array()).empty();
@@ -209,7 +209,7 @@
         return { 404, "{}" };
     }
 
-    Response commit(const json& transaction)
+    http_reply commit(const json& transaction)
     {
         json current = json::array();
         bool holds = true;
@@ -238,7 +238,7 @@
         return { 200, json { { "revision", m_revision } }.dump() };
     }
 
-    Response watch(const std::string& prefix, std::int64_t after, double wait)
+    http_reply watch(const std::string& prefix, std::int64_t after, double wait)
     {
         const double until = seconds() + wait;
         std::unique_lock lock(m_mutex);
@@ -296,13 +296,13 @@
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::map<std::string, Item> m_items;
-    std::map<std::int64_t, Lease> m_leases;
+    std::map<std::string, stored_item> m_items;
+    std::map<std::int64_t, stored_lease> m_leases;
     std::deque<std::pair<std::int64_t, json>> m_events;
     std::int64_t m_revision = 100;
     std::int64_t m_lastLease = 0;
     std::atomic<int> m_transactions { 0 };
-    FateOf m_fate;
+    fate_function m_fate;
 };
 
 } // namespace review
