--- a/review/standins-3/trials.cpp
+++ b/review/standins-3/trials.cpp
@@ -328,11 +328,64 @@
             + std::to_string(state.status) + " " + state.body + "; processes killed over their memory limit: " + std::to_string(kills) + "; peaks" + used);
 }
 
+/// @brief A job of many steps: @p first steps that may begin at once, and as many more as a job may have, each after many of these.
+json largeJob(unsigned first, unsigned earlierOfEach)
+{
+    constexpr unsigned steps = 1000;
+    json phases = json::array();
+    for (unsigned i = 0; i < first; ++i)
+        phases.push_back({ { "cpu", 60'000 } });
+    json after = json::array();
+    for (unsigned i = 0; i < earlierOfEach; ++i)
+        after.push_back(i);
+    for (unsigned i = first; i < steps; ++i)
+        phases.push_back({ { "cpu", 60'000 }, { "after", after } });
+    return { { "spec", "a pipeline" }, { "phases", phases } };
+}
+
+/// Jobs of many steps come at the rate of the sheet's traffic; then a client hands a small job in.
+int largeJobs(trial_record& record)
+{
+    constexpr unsigned count = 8;
+    constexpr std::size_t maxBodyBytes = 262'144;
+    deployment fleet(record, 6, [](const std::string&, unsigned) { return run_course { milliseconds(1000), "done" }; });
+    fleet.configure(configuration(7, json::array({ route("r-3ajwyy7", batchPrefix, 2, 3), route("r-ce7ejsm", oncePrefix, 0, 4) })));
+    if (!fleet.begin())
+        return couldNotRun(record, "the frontends are not ready");
+    // With TROUBLE=0 jobs of as many steps, which don't wait for each other.
+    const auto body = hasTrouble() ? largeJob(850, 380) : largeJob(1000, 0);
+    if (body.dump().size() > maxBodyBytes)
+        return couldNotRun(record, "the job is larger than maxBodyBytes");
+    record.add("each of " + std::to_string(count) + " jobs has " + std::to_string(body.dump().size()) + " bytes");
+    for (unsigned i = 0; i < count; ++i) {
+        if (fleet.submit(batchPrefix, "888888888888888" + std::to_string(i), body).status != 200)
+            return couldNotRun(record, "a job was not accepted");
+        pauseFor(milliseconds(1300));
+    }
+    pauseFor(milliseconds(8000));
+    const std::string id = "9999999999999999";
+    if (fleet.submit(oncePrefix, id, job(2)).status != 200)
+        return couldNotRun(record, "the small job was not accepted");
+    // LOST: it may be asked for `finish_s` (14 s) after the end of the traffic, and 3 s in which nothing of it runs count.
+    pauseFor(milliseconds(40'000));
+    const auto state = fleet.call(1, "GET", oncePrefix + id);
+    const double now = record.seconds();
+    double lastStart = 0;
+    for (const auto& run : fleet.minions().runs())
+        lastStart = std::max(lastStart, run.startedAt);
+    const auto runs = runsOf(fleet, id).size();
+    return conclude(record, runs == 0,
+        "LOST: 40 s after its acceptance the small job has " + std::to_string(runs) + " runs and is shown as " + std::to_string(state.status) + " "
+            + state.body + "; the last task of any job was started " + std::to_string(now - lastStart) + " s ago");
+}
+
 int run(const std::string& name, const std::string& folder)
 {
     trial_record record(folder + "/record.txt");
     record.add(name + (hasTrouble() ? "" : " without trouble"));
     try {
+        if (name == "large-jobs")
+            return largeJobs(record);
         if (name == "full-store")
             return fullStore(record);
         if (name == "dropped-route")
