--- a/review/standins-3/fleet.hpp
+++ b/review/standins-3/fleet.hpp
@@ -55,11 +55,14 @@
     /// @brief Watches each process: called every 50 ms with its name and process id.
     std::function<void(const std::string& name, pid_t pid)> watchProcess;
     void killProcess(const std::string& name);
+    /// @brief Kills the processes of all frontends, which the platform starts again.
+    void killFrontends();
+    /// @brief Sends a heartbeat of another writer to a side machine.
+    client_answer foreignHeartbeat(unsigned side, const std::string& instance, const std::string& body);
     /// @brief Kills the processes of all machines; they are not started again until startAll.
     void stopAll();
     /// @brief Starts all machines, and waits as begin does.
     bool startAll();
-    [[nodiscard]] std::string frontendName(unsigned number) const;
 
 private:
     struct node {
--- a/review/standins-3/floor.hpp
+++ b/review/standins-3/floor.hpp
@@ -76,6 +76,8 @@
     /// @brief Tells what the tasks of a job ask for; a minion learns that with the spec.
     void describeJob(const std::string& id, const nlohmann::json& body);
     [[nodiscard]] std::vector<run_record> runs();
+    /// @brief What a minion says of itself at this moment, and its id.
+    [[nodiscard]] std::pair<std::string, nlohmann::json> describeMinion(std::size_t number);
 
 private:
     struct active_run;
@@ -89,6 +91,7 @@
     [[nodiscard]] const nlohmann::json* stepOf(const std::string& task) const;
     [[nodiscard]] bool hasRoom(const minion& self, const nlohmann::json& step) const;
     [[nodiscard]] std::vector<std::pair<minion*, active_run*>> membersOf(const active_run& run);
+    [[nodiscard]] static nlohmann::json heartbeatOf(const minion& self);
     void endRun(minion& self, const std::string& task, const std::string& how);
     void advance(minion& self);
     void advanceGang(const active_run& run, steady_time now);
--- a/review/standins-3/store.hpp
+++ b/review/standins-3/store.hpp
@@ -36,6 +36,8 @@
     /// @return When the store acknowledged it.
     std::chrono::steady_clock::time_point put(const std::string& key, const std::string& value);
     void setLateRule(late_rule rule);
+    /// @brief Ranges of this prefix are answered that much later; zero for none.
+    void setSlowRange(const std::string& prefix, std::chrono::milliseconds delay);
     /// @brief Adds copies of all that the system has stored of a job, under other ids. The history up to then is discarded.
     /// @return How many items were added.
     std::size_t addCopies(const std::string& id, const std::vector<std::string>& otherIds);
@@ -55,6 +57,7 @@
     using query = std::map<std::string, std::string>;
 
     http_answer handle(const http_request& request);
+    [[nodiscard]] std::chrono::milliseconds delayOf(const std::string& prefix);
     http_answer key(const query& parameters);
     http_answer range(const query& parameters);
     http_answer watch(const query& parameters);
@@ -75,6 +78,8 @@
     std::map<std::int64_t, lease> m_leases;
     std::multimap<std::chrono::steady_clock::time_point, nlohmann::json> m_late;
     late_rule m_lateRule;
+    std::string m_slowPrefix;
+    std::chrono::milliseconds m_slowDelay { 0 };
     std::int64_t m_revision = 100;
     std::int64_t m_historyFrom = 0; ///< Watches that begin before this revision get 410.
     std::int64_t m_lastLease = 1000;
