--- a/tests/hostile_clients/main.cpp
+++ b/tests/hostile_clients/main.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds trafficTime { 4000 };
 constexpr oriole::milliseconds sampleInterval { 20 };
 constexpr machine_limits fewDescriptors { 64, 400 };
+constexpr machine_limits sideMachine { 128, 4096 };
 const std::string post = "POST /batch/00000000000000ff HTTP/1.1\r\nHost: test.example\r\nX-Key: key-one\r\n";
 
 std::string repeated(const std::string& text, unsigned times)
@@ -26,6 +27,11 @@
     return out;
 }
 
+std::string request(const std::string& line, const std::string& body)
+{
+    return line + " HTTP/1.1\r\nHost: test.example\r\nX-Key: key-one\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 std::string get(const std::string& target)
 {
     return "GET " + target + " HTTP/1.1\r\nHost: test.example\r\nX-Key: key-one\r\n\r\n";
@@ -123,6 +129,18 @@
         { 40, "PUT /api/instances/w2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3C0000\r\n" + std::string(0x3C0000, 'x') });
 }
 
+// Guards against agents that go over their memory: a tree of JSON takes up to 80 bytes for each byte of nested brackets.
+TEST_CASE("heartbeats that are large when decoded")
+{
+    const std::string known = R"({"service":"desk","address":"127.0.0.1:1","zone":"domain-a","state":"ready","sequence":1,)"
+                              R"("capacity":{"cpu":1,"memMb":1,"gpu":1},)";
+    const auto [start, piece] = GENERATE_COPY(table<std::string, std::string>({ { "", "[" }, { known + R"("labels":)", "[" },
+        { known + R"("labels":[)", R"("a",)" }, { known + R"("unknown":{)", R"("a":{},)" } }));
+    const auto text = start + repeated(piece, 4'193'000 / piece.size());
+    INFO(text.substr(0, start.size() + 2 * piece.size()));
+    checkUnder(process_role::Agent, sideMachine, &served_process::service, { 4, request("PUT /api/instances/w2", text) });
+}
+
 TEST_CASE("pipelined requests for metrics with unread answers")
 {
     const auto role = GENERATE(process_role::Entry, process_role::Agent);
