Count the wait for a place by unit, and bound it

Cause: a unit may leave the rack of its data after a wait, which was counted from one time for the whole job. Each end of a run and each due occurrence set it anew, so a job with an event every 2 s never had waited 6 s. The wait was as long where no worker of the rack could take the task, and had no upper bound for long tasks.

unit_waits holds since when each unit waits, for all three decisions that read the old time. near_data bounds the wait: 1 s for a rack that can't run the unit, 2 s beside idle room, 12 s else. All limits are below the 3 s that the platform allows where room is idle.

load_replay took the job's old time for its completion; it notes the report of the last end itself now, which is the same time.

--- a/lib/libfleet/include/fleet/core/placement.hpp
+++ b/lib/libfleet/include/fleet/core/placement.hpp
@@ -32,6 +32,12 @@
 /// @brief Whether the workers that are not suspect could run the unit if nothing else ran on them.
 bool canHealthyWorkersHold(const tables& state, placement_request request, time_point now);
 
+/// @brief Whether so many tasks of the unit's step have room now, wherever it is.
+bool isRoomFor(const tables& state, placement_request request, unsigned tasks, time_point now);
+
+/// @brief Whether a rack that suits the unit could run it if nothing else ran there, by the workers that can be reached now.
+bool canRackHold(const tables& state, const placement_request& request, time_point now);
+
 /// @brief Whether the worker could run a task of the unit if nothing else ran on it.
 bool isEligible(const worker_row& worker, const placement_request& request, const tables& state);
 
--- a/lib/libfleet/include/fleet/core/scheduler_core.hpp
+++ b/lib/libfleet/include/fleet/core/scheduler_core.hpp
@@ -162,14 +162,14 @@
     void updateFaultScore(const live_run& run, run_outcome how, time_point now);
     void assignRoom(const worker_row& worker, const worker_incarnation& present);
     [[nodiscard]] static std::optional<time_point> drainDeadlineOf(const worker_row& worker, const worker_description& notice, time_point now);
-    void applyEndAfterLoss(const ended_run& ended, time_point now);
+    void applyEndAfterLoss(const ended_run& ended);
     void applyActiveRuns(const std::string& worker, const worker_report& report, time_point now);
     void stopMissingRuns(const std::string& worker, const worker_report& report, time_point now);
     void updateProgress(live_run& run, const active_run& active, time_point now);
     void stopUnrecordedRun(const std::string& worker, const worker_report& report, const active_run& active, time_point now);
     void updateShortestRunTime(const live_run& run);
     void restoreRuns(const job_row& job, time_point now);
-    void beginDueOccurrences(std::int64_t unixMs, time_point now);
+    void beginDueOccurrences(std::int64_t unixMs);
     void stopRunsOfEndedJobs(time_point now);
     void stopBrokenGangs(time_point now);
     void orderRestoredRuns(time_point now);
@@ -183,7 +183,10 @@
     void placePendingUnits(time_point now);
     void placeStep(pending_unit& entry, time_point now);
     bool placeUnit(const pending_unit& entry, time_point now);
-    [[nodiscard]] bool mayWaitForHealthyWorker(const job_row& job, const placement_request& request, time_point now) const;
+    [[nodiscard]] bool mayWaitForHealthyWorker(const placement_request& request, milliseconds waited, time_point now) const;
+    [[nodiscard]] milliseconds extraRunTimeElsewhere(const job_row& job, unsigned step) const;
+    bool isRoomIdle(const placement_request& request);
+    bool mayPlaceRemotely(const job_row& job, const unit_id& unit, const placement_request& request, milliseconds waited);
     [[nodiscard]] static bool isLastAttempt(const job_row& job, const unit_id& unit);
     void startUnit(const job_row& job, const unit_id& unit, const std::vector<std::string>& workers, time_point now);
     std::optional<std::vector<std::string>> findExpectedPlaces(placement_request request, milliseconds within);
@@ -198,14 +201,15 @@
     void stopUnit(const unit_id& unit, const std::string& reason, time_point now);
     void releaseReservation(const unit_id& unit);
     void releaseExpiredReservations(time_point now);
-    [[nodiscard]] std::vector<pending_unit> collectPending(time_point now) const;
+    [[nodiscard]] std::vector<pending_unit> collectPending(time_point now);
     void considerShares(const std::vector<pending_unit>& pending, time_point now);
     void placeInTurns(const std::vector<pending_unit>& pending, time_point now);
-    [[nodiscard]] placement_request requestFor(const job_row& job, const unit_id& unit, time_point now) const;
-    [[nodiscard]] bool canRestartElsewhere(const live_run& run, time_point now) const;
+    [[nodiscard]] placement_request requestFor(const job_row& job, const unit_id& unit, time_point now);
+    [[nodiscard]] bool canRestartElsewhere(const live_run& run, time_point now);
 
     tables m_state;
     time_point m_decidedAt;
+    std::optional<std::set<std::string>> m_idleServices; ///< Of the present decision, once they are needed.
     std::optional<std::vector<expected_release>> m_releases; ///< Of the present decision, until a run is stopped.
     std::vector<reservation> m_collections; ///< Room that the present decision keeps for waiting gangs below priority 0.
     std::map<reclaim_right, std::optional<eviction_candidates>> m_evictionCandidates; ///< Of the present decision.
--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -4,6 +4,7 @@
 
 #include <fleet/core/decision_limits.hpp>
 #include <fleet/core/job_progress.hpp>
+#include <fleet/core/unit_waits.hpp>
 #include <fleet/model/configuration.hpp>
 
 #include <oriole/helpers/timer_service.hpp>
@@ -20,16 +21,6 @@
 using oriole::milliseconds;
 using oriole::time_point;
 
-/// @brief Unit of placement: a whole step if it is a gang, else one task.
-struct unit_id {
-    std::string job;
-    unsigned occurrence = 0;
-    unsigned step = 0;
-    unsigned index = 0; ///< 0 for a gang.
-
-    auto operator<=>(const unit_id&) const = default;
-};
-
 struct worker_row {
     std::size_t slot = 0; ///< Position in tables that have one entry for each worker.
     worker_description description;
@@ -52,7 +43,7 @@
     job_progress progress;
     queue_rule rule; ///< Rules of the job's queue; those of a removed queue have the lowest priority.
     time_point acceptedAt;
-    time_point readySince; ///< When the job was added, an occurrence began or a run of it ended, whichever was last.
+    unit_waits waits;
     /// By step: shortest run time projected from progress, with the slow-down away from the data taken out.
     std::map<unsigned, double> shortestRunTimeMs;
     std::map<unit_id, unsigned> evictions; ///< How often each unit was evicted for urgent work.
--- a/lib/libfleet/source/core/placement.cpp
+++ b/lib/libfleet/source/core/placement.cpp
@@ -24,14 +24,18 @@
 
 using candidate_list = std::vector<candidate>;
 
+bool isSuspect(const std::string& name, const worker_row& row, const placement_request& request, time_point now)
+{
+    return faultScoreOf(row, now) >= suspectThreshold || request.avoidedWorkers.contains(name);
+}
+
 candidate_list collectCandidates(const tables& state, const placement_request& request, time_point now)
 {
     candidate_list found;
     for (const auto& [name, row] : state.workers) {
         if (!row.reachable || row.blockedUntil > now || !isEligible(row, request, state))
             continue;
-        candidate entry { &name, &row, row.free(), 0,
-            faultScoreOf(row, now) >= suspectThreshold || request.avoidedWorkers.contains(name) };
+        candidate entry { &name, &row, row.free(), 0, isSuspect(name, row, request, now) };
         for (const auto& reserved : request.reservedOn) {
             if (reserved == name && request.reservedNeed)
                 entry.free += *request.reservedNeed;
@@ -196,6 +200,26 @@
     return haveRoom(candidates, request);
 }
 
+bool isRoomFor(const tables& state, placement_request request, unsigned tasks, time_point now)
+{
+    request.tasks = tasks;
+    return haveRoom(collectCandidates(state, request, now), request);
+}
+
+bool canRackHold(const tables& state, const placement_request& request, time_point now)
+{
+    std::map<std::string_view, candidate_list> racks;
+    const auto& wanted = request.step->affinityRack;
+    for (const auto& [name, row] : state.workers) {
+        const auto rack = row.description.rack();
+        if (!row.reachable || (!wanted.empty() && rack != wanted) || !isEligible(row, request, state))
+            continue;
+        if (!request.excludeSuspects || !isSuspect(name, row, request, now))
+            racks[rack].push_back({ &name, &row, row.description.capacity });
+    }
+    return std::any_of(racks.begin(), racks.end(), [&request](const auto& rack) { return haveRoom(rack.second, request); });
+}
+
 double slowdownOf(const tables& state, const step_spec& step, const std::vector<std::string>& workers, double spreadFactor)
 {
     std::set<std::string_view> racks;
--- a/lib/libfleet/source/core/scheduler_core.cpp
+++ b/lib/libfleet/source/core/scheduler_core.cpp
@@ -55,7 +55,6 @@
     row.progress = std::move(progress);
     row.rule = findRule(m_state.rules, row.job);
     row.acceptedAt = acceptedAt;
-    row.readySince = now;
     // Reports can list runs of a job before the job itself is known.
     for (auto run = m_state.runs.lower_bound({ { id, 0, 0, 0 }, 0 }); run != m_state.runs.end() && run->first.task.job == id; ++run)
         run->second.job = &row;
@@ -123,7 +122,7 @@
     for (const auto& ended : report.ended) {
         const auto run = m_state.runs.find(ended.run);
         if (run == m_state.runs.end())
-            applyEndAfterLoss(ended, now);
+            applyEndAfterLoss(ended);
         else if (run->second.worker == worker)
             finishRun(ended.run, ended.outcome, ended.checkpoint, now);
     }
@@ -161,16 +160,14 @@
     }
 }
 
-void scheduler_core::applyEndAfterLoss(const ended_run& ended, time_point now)
+void scheduler_core::applyEndAfterLoss(const ended_run& ended)
 {
     const auto job = m_state.jobs.find(ended.run.task.job);
     if (ended.outcome != run_outcome::Done || job == m_state.jobs.end())
         return;
     auto& row = job->second;
-    if (applyEnd(row.progress, row.job.spec, ended.run, ended.outcome, ended.checkpoint, row.rule.maxAttempts)) {
-        row.readySince = now;
+    if (applyEnd(row.progress, row.job.spec, ended.run, ended.outcome, ended.checkpoint, row.rule.maxAttempts))
         m_changed.insert(job->first);
-    }
 }
 
 void scheduler_core::applyActiveRuns(const std::string& worker, const worker_report& report, time_point now)
@@ -287,7 +284,8 @@
     updateFaultScore(run, how, now);
     const auto& saved = checkpoint.empty() ? run.checkpoint : checkpoint;
     if (applyEnd(run.job->progress, run.job->job.spec, id, how, saved, run.job->rule.maxAttempts)) {
-        run.job->readySince = now;
+        if (findTask(run.job->progress, id.task)->status == task_status::Waiting)
+            run.job->waits.beginAgain(unitOf(m_state, id.task), now);
         m_changed.insert(id.task.job);
     }
 }
--- a/lib/libfleet/source/core/scheduler_decisions.cpp
+++ b/lib/libfleet/source/core/scheduler_decisions.cpp
@@ -1,3 +1,4 @@
+#include <fleet/core/near_data.hpp>
 #include <fleet/core/scheduler_core.hpp>
 #include <fleet/core/stragglers.hpp>
 
@@ -15,7 +16,8 @@
 std::vector<effect> scheduler_core::decide(time_point now, std::int64_t unixMs)
 {
     m_decidedAt = now;
-    beginDueOccurrences(unixMs, now);
+    m_idleServices.reset();
+    beginDueOccurrences(unixMs);
     stopRunsOfEndedJobs(now);
     stopBrokenGangs(now);
     orderRestoredRuns(now);
@@ -25,7 +27,7 @@
     return std::exchange(m_effects, {});
 }
 
-void scheduler_core::beginDueOccurrences(std::int64_t unixMs, time_point now)
+void scheduler_core::beginDueOccurrences(std::int64_t unixMs)
 {
     for (auto& [id, job] : m_state.jobs) {
         if (isFinal(job.progress.state))
@@ -36,7 +38,6 @@
             if (spec.repeatCount > 0 && spec.firstDueUnixMs + next * spec.intervalMs > unixMs)
                 break;
             beginOccurrence(job.progress, spec);
-            job.readySince = now;
         }
     }
 }
@@ -114,13 +115,14 @@
     }
 }
 
-bool scheduler_core::canRestartElsewhere(const live_run& run, time_point now) const
+bool scheduler_core::canRestartElsewhere(const live_run& run, time_point now)
 {
     const auto& job = *run.job;
     auto request = requestFor(job, unitOf(m_state, run.id.task), now);
     request.avoidedWorkers.insert(run.worker);
     request.excludeSuspects = true;
     request.liveTasksByWorker.clear();
+    request.remoteAllowed = prefersOneRack(*request.step) && now - run.placedAt > extraRunTimeElsewhere(job, run.id.task.step);
     return findPlaces(m_state, request, now).has_value();
 }
 
--- a/lib/libfleet/source/core/unit_placement.cpp
+++ b/lib/libfleet/source/core/unit_placement.cpp
@@ -1,3 +1,4 @@
+#include <fleet/core/near_data.hpp>
 #include <fleet/core/scheduler_core.hpp>
 
 #include <algorithm>
@@ -31,14 +32,6 @@
 constexpr milliseconds maxLastAttemptWait { 2000 };
 constexpr milliseconds maxLastAttemptWaitForRoom { 12'000 };
 
-/// @brief How long a unit waits for a place near its data. Waiting up to the extra run time away from it costs no more; work
-/// within a guarantee has to start in time, away from its data if necessary.
-milliseconds remotePlacementDelay(milliseconds runTime, bool guaranteed, const decision_limits& limits)
-{
-    const milliseconds maxWait(static_cast<std::int64_t>(static_cast<double>(runTime.count()) * std::max(0.0, limits.spreadFactor - 1)));
-    return guaranteed ? std::min(maxWait, limits.maxGuaranteedRemoteDelay) : maxWait;
-}
-
 unsigned tasksOf(const step_spec& step)
 {
     return step.gang ? step.count : 1;
@@ -63,12 +56,14 @@
     return "unknown";
 }
 
-std::vector<pending_unit> scheduler_core::collectPending(time_point now) const
+std::vector<pending_unit> scheduler_core::collectPending(time_point now)
 {
     std::vector<pending_unit> pending;
-    for (const auto& [id, job] : m_state.jobs) {
-        if (isFinal(job.progress.state))
+    for (auto& [id, job] : m_state.jobs) {
+        if (isFinal(job.progress.state)) {
+            job.waits.clear();
             continue;
+        }
         const auto& occurrences = job.progress.occurrences;
         for (unsigned k = 0; k < occurrences.size(); ++k) {
             for (unsigned s = 0; s < occurrences[k].steps.size(); ++s) {
@@ -76,8 +71,11 @@
                     continue;
                 const auto& tasks = occurrences[k].steps[s];
                 const auto isWaiting = [](const task_progress& task) { return task.status == task_status::Waiting; };
-                if (std::none_of(tasks.begin(), tasks.end(), isWaiting))
+                if (std::none_of(tasks.begin(), tasks.end(), isWaiting)) {
+                    job.waits.endStep(k, s);
                     continue;
+                }
+                job.waits.beginStep(k, s, now);
                 if (!job.job.spec.steps[s].gang || std::all_of(tasks.begin(), tasks.end(), isWaiting))
                     pending.push_back(classify(job, { id, k, s, 0 }, now));
             }
@@ -125,7 +123,7 @@
     }
 }
 
-placement_request scheduler_core::requestFor(const job_row& job, const unit_id& unit, time_point now) const
+placement_request scheduler_core::requestFor(const job_row& job, const unit_id& unit, time_point now)
 {
     const auto& step = job.job.spec.steps[unit.step];
     const auto& rule = job.rule;
@@ -140,19 +138,43 @@
         if (tasks[i].status == task_status::Live)
             ++request.liveTasksByWorker[tasks[i].worker];
     }
-    request.remoteAllowed = now - job.readySince > remotePlacementDelay(estimatedRunTime(job, unit.step), m_state.guaranteedJobs.contains(unit.job), m_state.limits);
     if (const auto held = m_state.reservations.find(unit); held != m_state.reservations.end()) {
         request.reservedNeed = held->second.need;
         request.reservedOn = held->second.workers;
     }
-    request.excludeSuspects = isLastAttempt(job, unit) && mayWaitForHealthyWorker(job, request, now);
+    const auto waited = job.waits.waited(unit, now);
+    request.excludeSuspects = isLastAttempt(job, unit) && mayWaitForHealthyWorker(request, waited, now);
+    request.remoteAllowed = prefersOneRack(step) && mayPlaceRemotely(job, unit, request, waited);
     return request;
 }
 
+milliseconds scheduler_core::extraRunTimeElsewhere(const job_row& job, unsigned step) const
+{
+    const auto runTime = static_cast<double>(estimatedRunTime(job, step).count());
+    return milliseconds(static_cast<std::int64_t>(runTime * std::max(0.0, m_state.limits.spreadFactor - 1)));
+}
+
+bool scheduler_core::isRoomIdle(const placement_request& request)
+{
+    if (!m_idleServices)
+        m_idleServices = findIdleServices(m_state);
+    return m_idleServices->contains(request.service) && isRoomFor(m_state, request, 2 * request.tasks, m_decidedAt);
+}
+
+bool scheduler_core::mayPlaceRemotely(
+    const job_row& job, const unit_id& unit, const placement_request& request, milliseconds waited)
+{
+    near_data_wait inputs;
+    inputs.extraRunTime = extraRunTimeElsewhere(job, unit.step);
+    inputs.withinGuarantee = m_state.guaranteedJobs.contains(unit.job);
+    inputs.canRackHold = canRackHold(m_state, request, m_decidedAt);
+    inputs.isRoomIdle = isRoomIdle(request);
+    return waited > maxNearDataWait(inputs, m_state.limits);
+}
+
 /// Answers jobs that failed on every worker that can run them: without a limit their last attempt would never be made.
-bool scheduler_core::mayWaitForHealthyWorker(const job_row& job, const placement_request& request, time_point now) const
+bool scheduler_core::mayWaitForHealthyWorker(const placement_request& request, milliseconds waited, time_point now) const
 {
-    const auto waited = now - job.readySince;
     if (waited < maxLastAttemptWait)
         return true;
     return waited < maxLastAttemptWaitForRoom && canHealthyWorkersHold(m_state, request, now);
@@ -286,7 +308,7 @@
 {
     const auto& job = m_state.jobs.at(entry.unit.job);
     const bool reclaimsGuarantee = m_state.guaranteedJobs.contains(entry.unit.job);
-    const auto waited = std::chrono::duration_cast<milliseconds>(now - job.readySince);
+    const auto waited = job.waits.waited(entry.unit, now);
     const auto& need = request.step->need;
     placement_deferral deferral;
     deferral.unit = entry.unit;
@@ -429,6 +451,7 @@
         addRun(m_state, std::move(run));
     }
     m_evictionCandidates.clear();
+    row.waits.end(unit);
     updateState(row.progress, row.job.spec);
     m_changed.insert(unit.job);
 }
--- a/tests/fleet/load_replay.cpp
+++ b/tests/fleet/load_replay.cpp
@@ -259,11 +259,21 @@
             const double began = processorMs();
             m_core->applyReport(name, report, m_now);
             m_outcome.reportMs.push_back(processorMs() - began);
+            noteCompletions(report);
             worker.reportAt = m_now + reportPeriod;
         }
         return news;
     }
 
+    void noteCompletions(const worker_report& report)
+    {
+        for (const auto& ended : report.ended) {
+            const auto* job = m_core->findJob(ended.run.task.job);
+            if (job != nullptr && job->progress.state == job_state::Completed)
+                m_completedAt.try_emplace(job->job.id, m_now);
+        }
+    }
+
     void drawDepartures()
     {
         // A generator of its own, so that the drawn jobs are the same with and without departures.
@@ -321,8 +331,6 @@
         const auto previous = std::exchange(m_core, std::make_unique<scheduler_core>(core_settings {}));
         m_core->configure(m_rules);
         for (const auto& [id, job] : previous->state().jobs) {
-            if (job.progress.state == job_state::Completed)
-                m_completedAt.try_emplace(id, job.readySince);
             m_core->addJob(job.job, job.progress, job.acceptedAt, m_now);
         }
         unsigned number = 0;
@@ -455,7 +463,7 @@
         if (job->progress.state != job_state::Completed)
             return;
         const auto completed = m_completedAt.find(entry.job.id);
-        const auto age = (completed == m_completedAt.end() ? job->readySince : completed->second) - entry.at;
+        const auto age = completed->second - entry.at;
         double value = 0;
         if (age <= objective) {
             ++queue.inTime;
@@ -484,7 +492,7 @@
     std::unique_ptr<scheduler_core> m_core;
     configuration m_rules;
     std::size_t m_nextTakeover = 0;
-    std::map<std::string, time_point> m_completedAt; ///< Of jobs that were complete at a takeover.
+    std::map<std::string, time_point> m_completedAt; ///< When the end of a job's last run was reported.
     time_point m_now = origin;
     time_point m_decidedAt = origin;
     std::vector<arrival> m_arrivals;
