Record cancellations that come before their job is stored

Cause: a submission was conditional on the absence of its job and on the configuration, and the cancellation of an unknown id wrote nothing, so nothing made the late write fail. The stand-in's record shows both writes sent before the cancellation and the first carried out after it.

early_cancels records the cancellation on condition that the job is not stored, and submissions are conditional on its absence, so the store decides which came first, whichever entries they reach.

--- a/lib/libfleet/include/fleet/entry/job_service.hpp
+++ b/lib/libfleet/include/fleet/entry/job_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <fleet/entry/control_view.hpp>
+#include <fleet/entry/early_cancels.hpp>
 #include <fleet/records/job_codec.hpp>
 #include <fleet/store/store_mirror.hpp>
 
@@ -20,6 +21,7 @@
     IdConflict, ///< The id belongs to another job.
     NotStored, ///< The job was not stored and will not be.
     MayBeStored, ///< The store did not answer: the job may be stored already or later.
+    Cancelled, ///< The job was cancelled before it was stored; it is not stored while the record of that lasts.
     ConfigurationChanged, ///< The configuration has changed since the admission; the job was not stored.
 };
 
@@ -38,9 +40,11 @@
     /// @brief Looks up a job's status; @p done receives no value if the job does not exist.
     void find(const std::string& id, std::function<void(result<std::optional<job_status>>)> done);
 
-    /// @brief Records the cancellation of a job.
+    using cancel_handler = std::function<void(result<std::optional<job_state>>)>;
+
+    /// @brief Records the cancellation of a job, also of one that the store may be about to store.
     /// @param done Receives the job's new state, or no value if the job does not exist.
-    void cancel(const std::string& id, std::function<void(result<std::optional<job_state>>)> done);
+    void cancel(const std::string& id, cancel_handler done);
 
     /// @brief Number of jobs of a queue of which no task has started.
     [[nodiscard]] std::size_t pending(const std::string& queue) const;
@@ -49,9 +53,11 @@
 
 private:
     void handleStatusChange(const record_change& change);
+    void cancelStored(const std::string& id, cancel_handler done);
 
     record_store& m_store;
     store_mirror m_status;
+    early_cancels m_earlyCancels;
     std::map<std::string, job_status> m_statuses;
     std::set<std::string> m_cancelled; ///< Jobs that were cancelled through this entry; their status records may not show it yet.
     std::map<std::string, std::size_t> m_pending; ///< Number of queued jobs by queue.
--- a/lib/libfleet/source/entry/job_service.cpp
+++ b/lib/libfleet/source/entry/job_service.cpp
@@ -2,7 +2,9 @@
 
 #include <oriole/helpers/log.hpp>
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace fleet {
 
@@ -17,11 +19,22 @@
     return known && known->bodyDigest == job.bodyDigest ? submit_outcome::Accepted : submit_outcome::IdConflict;
 }
 
+submit_outcome explainRefusal(const std::vector<record>& current, const accepted_job& job)
+{
+    const auto stored = [&current](const std::string& key) {
+        return std::find_if(current.begin(), current.end(), [&key](const record& item) { return item.key == key && item.revision != 0; });
+    };
+    if (const auto known = stored(record_keys::jobs + job.id); known != current.end())
+        return compareWithStored(*known, job);
+    return stored(record_keys::cancels + job.id) != current.end() ? submit_outcome::Cancelled : submit_outcome::ConfigurationChanged;
+}
+
 } // namespace
 
 job_service::job_service(record_store& store, oriole::timer_service& timers)
     : m_store(store)
     , m_status(store, timers, record_keys::status)
+    , m_earlyCancels(store, timers)
 {
 }
 
@@ -53,7 +66,8 @@
 void job_service::submit(accepted_job job, const record_condition& control, std::function<void(submit_outcome)> done)
 {
     record_transaction transaction;
-    transaction.conditions = { { record_keys::jobs + job.id, 0 }, control };
+    // A write may be carried out seconds late, when its caller has cancelled the job.
+    transaction.conditions = { { record_keys::jobs + job.id, 0 }, { record_keys::cancels + job.id, 0 }, control };
     transaction.answerTimeout = storeTimeout;
     const auto status = encodeStatus({ job.queue, job_state::Queued });
     transaction.writes = { { record_keys::jobs + job.id, encodeJob(job) }, { record_keys::status + job.id, status } };
@@ -67,11 +81,7 @@
                 m_status.apply({ record_keys::status + job.id, status, outcome.value().revision });
                 return done(submit_outcome::Accepted);
             }
-            for (const auto& item : outcome.value().current) {
-                if (item.key == record_keys::jobs + job.id && item.revision != 0)
-                    return done(compareWithStored(item, job));
-            }
-            done(submit_outcome::ConfigurationChanged);
+            done(explainRefusal(outcome.value().current, job));
         });
 }
 
@@ -104,7 +114,21 @@
     });
 }
 
-void job_service::cancel(const std::string& id, std::function<void(result<std::optional<job_state>>)> done)
+void job_service::cancel(const std::string& id, cancel_handler done)
+{
+    if (m_statuses.contains(id))
+        return cancelStored(id, std::move(done));
+    // The watch may be behind, and a submission under way; the store decides which was first.
+    m_earlyCancels.record(id, [this, id, done = std::move(done)](const result<early_cancel_outcome>& outcome) {
+        if (!outcome)
+            return done(outcome.error());
+        if (outcome.value() == early_cancel_outcome::Recorded)
+            return done(std::optional<job_state> {});
+        cancelStored(id, done);
+    });
+}
+
+void job_service::cancelStored(const std::string& id, cancel_handler done)
 {
     find(id, [this, id, done = std::move(done)](const result<std::optional<job_status>>& found) {
         if (!found)
