Soak: schedules near data, lost racks, unsettled cancellations, memory

Now one job in 40 is a schedule with its data in a rack, half of the clients that are told nothing give up, one rack may be lost for good, a heartbeat of 4 MiB of brackets may come, and a process over the memory of its machine is killed and counts as ended by itself. The checker asks that no job runs whose cancellation was answered with 410.

--- a/tests/fleet_soak/caller_load.cpp
+++ b/tests/fleet_soak/caller_load.cpp
@@ -1,5 +1,7 @@
 #include "caller_load.hpp"
 
+#include <fleet/model/unix_time.hpp>
+
 #include <cstdio>
 
 namespace fleet::soak {
@@ -14,6 +16,22 @@
 constexpr milliseconds statePeriod { 1000 };
 constexpr milliseconds cancelPeriod { 2500 };
 constexpr unsigned maxTries = 4;
+// Each of these is one task, near the data of a rack, that is due until the run ends.
+constexpr unsigned jobsPerSchedule = 40;
+constexpr unsigned scheduleRepeats = 200;
+constexpr milliseconds scheduleInterval { 1500 };
+
+/// @brief Makes a job a schedule whose data lies in a rack. Its texts and sizes stay as they are.
+void makeSchedule(json& body, const std::string& rack)
+{
+    body["repeatCount"] = scheduleRepeats;
+    body["intervalMs"] = scheduleInterval.count();
+    body["startAtMs"] = unixMilliseconds();
+    auto& phase = body["phases"][0];
+    phase.erase("count");
+    phase["affinity"] = rack;
+    body["phases"] = json::array({ phase });
+}
 
 bool isEnded(const std::string& state)
 {
@@ -28,6 +46,7 @@
     , m_deployment(deployment)
     , m_history(history)
     , m_random(seed + 77)
+    , m_giveUps(seed + 78)
 {
     const milliseconds period(static_cast<std::int64_t>(1000 / jobsPerSecond));
     m_loop.timers().subscribeEvery(period, [this](oriole::time_point) { submitNext(); });
@@ -72,7 +91,13 @@
             phase["after"] = json::array({ step - 1 });
         steps.push_back(std::move(phase));
     }
-    what->body = json { { "spec", job.spec }, { "phases", steps } }.dump();
+    json body { { "spec", job.spec }, { "phases", steps } };
+    if (m_submitted % jobsPerSchedule == 1) {
+        const auto& workers = m_deployment.workers();
+        makeSchedule(body, workers[m_submitted / jobsPerSchedule % workers.size()].worker->settings().rack);
+        job.stepSizes = { 1 };
+    }
+    what->body = body.dump();
     m_history.jobs.emplace(what->id, std::move(job));
     m_prefixes[what->id] = what->prefix;
     submit(what);
@@ -108,9 +133,22 @@
         state = handing_in::Rejected;
     if (!rejected && state == handing_in::Rejected)
         state = handing_in::Unsettled;
+    if (!rejected && m_giveUps() % 2 == 0)
+        return cancelUnsettled(what->id);
     submitAgain(what);
 }
 
+/// @brief A client that is told nothing gives up.
+void caller_load::cancelUnsettled(const std::string& id)
+{
+    m_history.jobs.at(id).cancelSent = true;
+    clientOf(static_cast<unsigned>(m_giveUps() % m_deployment.entries().size()))
+        .exchange(request(kj::HttpMethod::DELETE, m_prefixes.at(id) + id), [this, id](const result<http_response>& answer) {
+            if (answer && answer.value().status == 410)
+                m_history.jobs.at(id).deniedAt = m_deployment.seconds();
+        });
+}
+
 void caller_load::cancelOne()
 {
     if (!m_submits || m_history.jobs.empty())
--- a/tests/fleet_soak/caller_load.hpp
+++ b/tests/fleet_soak/caller_load.hpp
@@ -36,6 +36,7 @@
     void submitAgain(const std::shared_ptr<submission>& what);
     void handleSubmission(const std::shared_ptr<submission>& what, const result<http_response>& answer);
     void cancelOne();
+    void cancelUnsettled(const std::string& id);
     void askForStates();
     void askForState(job_record& job);
     [[nodiscard]] http_request request(kj::HttpMethod method, const std::string& target) const;
@@ -45,6 +46,7 @@
     fleet_deployment& m_deployment;
     soak_history& m_history;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_giveUps; ///< Draws of its own, so that the jobs of a seed stay the same.
     bool m_submits = true;
     unsigned m_submitted = 0;
     std::map<std::string, std::string> m_prefixes; ///< By job.
--- a/tests/fleet_soak/fault_script.cpp
+++ b/tests/fleet_soak/fault_script.cpp
@@ -37,7 +37,8 @@
         { "refusing-link", [this] { refuseConnections(); } }, { "other-worker", [this] { misdirectConnections(); } },
         { "restart-and-cut", [this] { restartAndCut(); } }, { "restart-domain", [this] { restartDomain(); } },
         { "agent-between-lives", [this] { killAgentBetweenLives(); } }, { "restart-unanswered", [this] { restartUnanswered(); } },
-        { "calls-over-restart", [this] { holdCallsOverRestart(); } } };
+        { "calls-over-restart", [this] { holdCallsOverRestart(); } }, { "large-heartbeat", [this] { sendLargeHeartbeat(); } },
+        { "rack-lost", [this] { loseRack(); } } };
 }
 
 std::vector<std::string> fault_script::knownKinds()
@@ -52,7 +53,7 @@
 {
     return { "kill", "freeze", "terminate", "link", "held-orders", "crash", "worker", "store", "configuration", "evacuation",
         "foreign-heartbeat", "delayed-heartbeat", "odd-record", "refusing-link", "other-worker", "restart-and-cut", "restart-domain",
-        "agent-between-lives", "restart-unanswered" };
+        "agent-between-lives", "restart-unanswered", "large-heartbeat", "rack-lost" };
 }
 
 void fault_script::start(milliseconds period)
@@ -552,6 +553,30 @@
     });
 }
 
+/// Another writer's heartbeat that takes far more memory as a tree than as text.
+void fault_script::sendLargeHeartbeat()
+{
+    constexpr std::size_t largestHeartbeat = 4U << 20U;
+    std::size_t index = 0;
+    const auto& served = anyWorker(index);
+    log("a heartbeat of 4 MiB of brackets at " + m_deployment.agents()[index].name);
+    put(index, served.worker->instance(), std::string(largestHeartbeat, '['));
+}
+
+/// All workers of one rack are gone for good.
+void fault_script::loseRack()
+{
+    if (std::exchange(m_isRackLost, true))
+        return;
+    std::size_t index = 0;
+    const auto rack = anyWorker(index).worker->settings().rack;
+    log("rack " + rack + " is lost");
+    for (auto& served : m_deployment.workers()) {
+        if (served.worker->settings().rack == rack)
+            served.worker->loseForGood();
+    }
+}
+
 /// Another writer leaves something else than an address, a number or a record of ours among the records.
 void fault_script::writeOddRecord()
 {
--- a/tests/fleet_soak/fault_script.hpp
+++ b/tests/fleet_soak/fault_script.hpp
@@ -65,6 +65,8 @@
     void sendForeignHeartbeat();
     void delayHeartbeat();
     void writeOddRecord();
+    void sendLargeHeartbeat();
+    void loseRack();
 
     fleet_deployment::node& anyNode();
     fleet_deployment::served_worker& anyWorker(std::size_t& index);
@@ -77,6 +79,7 @@
     std::vector<std::string> m_kinds;
     std::map<std::string, action> m_faults;
     bool m_running = false;
+    bool m_isRackLost = false;
     std::map<unsigned, action> m_undos;
     unsigned m_nextUndo = 0;
     std::map<std::string, unsigned> m_counts;
--- a/tests/fleet_soak/fleet_deployment.cpp
+++ b/tests/fleet_soak/fleet_deployment.cpp
@@ -31,6 +31,8 @@
 constexpr unsigned workersPerRack = 3;
 constexpr double slowestClockRate = 0.98;
 constexpr oriole::milliseconds processCheckPeriod { 200 };
+constexpr std::size_t entryMemoryMb = 260;
+constexpr std::size_t agentMemoryMb = 128;
 
 std::string at(const std::string& ip, unsigned short port)
 {
@@ -176,7 +178,10 @@
 {
     for (auto* list : { &m_entries, &m_agents }) {
         for (auto& each : *list) {
-            if (each.mayEnd || each.process->running())
+            // The platform kills what goes over its memory.
+            if (each.process->running() && each.process->peakResidentMb() > (each.role == "entry" ? entryMemoryMb : agentMemoryMb))
+                each.process->kill();
+            else if (each.mayEnd || each.process->running())
                 continue;
             m_history.ownEnds.push_back({ each.name, seconds(), each.process->waitForExit().value_or(-1) });
             run(each);
--- a/tests/fleet_soak/main.cpp
+++ b/tests/fleet_soak/main.cpp
@@ -46,10 +46,13 @@
 void trackIdleJobs(soak_history& history, fleet_deployment& deployment)
 {
     std::size_t active = 0;
-    for (auto& served : deployment.workers())
+    std::size_t workers = 0;
+    for (auto& served : deployment.workers()) {
         active += served.worker->activeRuns();
+        workers += served.worker->isLost() ? 0 : 1;
+    }
     // Half of the room of all workers, four tasks each.
-    const bool hasRoom = active < deployment.workers().size() * 2;
+    const bool hasRoom = active < workers * 2;
     const auto working = jobsAtWork(history);
     const double now = deployment.seconds();
     for (auto& [id, job] : history.jobs) {
--- a/tests/fleet_soak/rule_checker.cpp
+++ b/tests/fleet_soak/rule_checker.cpp
@@ -57,6 +57,8 @@
             found.push_back({ "UNASKED", run.task, "nobody handed the job in: " + describe(run) });
         else if (job->second.spec != run.spec)
             found.push_back({ "UNASKED", run.task, "another spec: " + describe(run) });
+        else if (job->second.deniedAt >= 0)
+            found.push_back({ "UNASKED", run.task, "its cancellation was answered with 410 at " + std::to_string(job->second.deniedAt) + ": " + describe(run) });
         else if (job->second.state == handing_in::Rejected)
             found.push_back({ "REFUSED", run.task, "all attempts to hand the job in were rejected: " + describe(run) });
     }
--- a/tests/fleet_soak/run_history.hpp
+++ b/tests/fleet_soak/run_history.hpp
@@ -38,6 +38,7 @@
     unsigned maxAttempts = 0;
     handing_in state = handing_in::Unsettled;
     bool cancelSent = false;
+    double deniedAt = notYet; ///< When a cancellation was answered with 410, no such job.
     double idleSince = notYet; ///< In the final phase: since when nothing of the unfinished job has been at work.
     double longestIdle = 0;
     std::string lastState; ///< As the last GET has shown it; empty before the first.
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <set>
 #include <stdexcept>
 #include <system_error>
@@ -221,4 +222,16 @@
     return true;
 }
 
+std::size_t process::peakResidentMb() const
+{
+    constexpr std::size_t kbPerMb = 1024;
+    const std::string label = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(label))
+            return std::stoul(line.substr(label.size())) / kbPerMb;
+    }
+    return 0;
+}
+
 } // namespace oriole::harness
--- a/tests/harness/process.hpp
+++ b/tests/harness/process.hpp
@@ -29,6 +29,9 @@
 
     [[nodiscard]] pid_t pid() const { return m_pid; }
 
+    /// @brief The most memory that it ever had resident, in MB; 0 once it has ended.
+    [[nodiscard]] std::size_t peakResidentMb() const;
+
     void terminate() { signal(SIGTERM); }
     /// @brief Sends SIGSTOP and returns once the process has stopped.
     void freeze();
--- a/tests/hostile_clients/served_process.cpp
+++ b/tests/hostile_clients/served_process.cpp
@@ -68,7 +68,8 @@
     ++m_requests;
     if (m_role == process_role::Agent) {
         const json heartbeat { { "service", "desk" }, { "zone", "domain-a" }, { "capacity", { { "cpu", 4000 }, { "memMb", 1000 }, { "gpu", 1 } } },
-            { "state", "ready" }, { "address", text(ready) }, { "sequence", m_requests } };
+            { "labels", { "a", "r1" } }, { "version", "v1" },
+            { "slots", 8 }, { "coldLeftMs", 0 }, { "state", "ready" }, { "address", text(ready) }, { "sequence", m_requests } };
         return { kj::HttpMethod::PUT, "/api/instances/w1", {}, heartbeat.dump(), requestDeadline };
     }
     char id[17];
@@ -97,15 +98,4 @@
     return static_cast<std::size_t>(std::distance(begin(open), end(open)));
 }
 
-std::size_t served_process::peakResidentMb() const
-{
-    const std::string label = "VmHWM:";
-    std::ifstream status("/proc/" + std::to_string(m_process->pid()) + "/status");
-    for (std::string line; std::getline(status, line);) {
-        if (line.starts_with(label))
-            return std::stoul(line.substr(label.size())) / 1024;
-    }
-    return 0;
-}
-
 } // namespace hostile
--- a/tests/hostile_clients/served_process.hpp
+++ b/tests/hostile_clients/served_process.hpp
@@ -30,7 +30,7 @@
 
     [[nodiscard]] bool alive() { return m_process->running(); }
     [[nodiscard]] std::size_t openDescriptors() const;
-    [[nodiscard]] std::size_t peakResidentMb() const;
+    [[nodiscard]] std::size_t peakResidentMb() const { return m_process->peakResidentMb(); }
 
     oriole::endpoint service; ///< Callers of an entry, heartbeats of an agent.
     oriole::endpoint ready;
--- a/tests/standins/platform/platform_worker.cpp
+++ b/tests/standins/platform/platform_worker.cpp
@@ -61,8 +61,16 @@
     m_polls.clear();
 }
 
+void platform_worker::loseForGood()
+{
+    m_lost = true;
+    crash();
+}
+
 void platform_worker::restart(bool sameInstance)
 {
+    if (m_lost)
+        return;
     m_up = true;
     if (!sameInstance) {
         char id[16];
--- a/tests/standins/platform/platform_worker.hpp
+++ b/tests/standins/platform/platform_worker.hpp
@@ -57,11 +57,15 @@
     /// @brief Starts a new incarnation, with another instance id or with the same. Its first heartbeat comes within one heartbeat period.
     void restart(bool sameInstance);
 
+    /// @brief Ends this incarnation, and no other one starts.
+    void loseForGood();
+
     /// @brief The heartbeat that this incarnation would send next.
     [[nodiscard]] nlohmann::json heartbeat() const;
     [[nodiscard]] const std::string& instance() const { return m_instance; }
     [[nodiscard]] const worker_settings& settings() const { return m_settings; }
     [[nodiscard]] bool isUp() const { return m_up; }
+    [[nodiscard]] bool isLost() const { return m_lost; }
     [[nodiscard]] std::size_t activeRuns() const { return m_active.size(); }
 
 private:
@@ -115,6 +119,7 @@
     std::function<oriole::milliseconds(const std::string&)> m_runTime;
     disruption m_disruption;
     bool m_up = true;
+    bool m_lost = false;
     std::string m_instance;
     std::int64_t m_bornUnixMs = 0;
     oriole::time_point m_clockStart;
