--- a/lib/libfleet/include/fleet/agent/worker_agent.hpp
+++ b/lib/libfleet/include/fleet/agent/worker_agent.hpp
@@ -85,6 +85,7 @@
     [[nodiscard]] bool isPermitted() const { return m_clock() < m_permittedUntil; }
     bool updateWorker(const worker_heartbeat& heartbeat);
     bool handleContradiction(const worker_heartbeat& heartbeat);
+    [[nodiscard]] bool outlastsDelays(const worker_heartbeat& heartbeat);
     void handleConfirmed(
         const worker_heartbeat& heartbeat, const std::shared_ptr<backend_runtime>& runtime, const poll_response& answer);
     [[nodiscard]] bool mayReplace(const worker_heartbeat& successor) const;
@@ -133,6 +134,8 @@
     std::shared_ptr<backend_runtime> m_runtime; ///< Null until an incarnation of the worker is confirmed.
     worker_heartbeat m_worker; ///< Of the confirmed incarnation.
     worker_heartbeat m_contradiction; ///< The last heartbeat of this incarnation that describes it differently.
+    std::optional<time_point> m_lowerSince; ///< Since when only heartbeats with a lower sequence than the known one have come, each higher than the last.
+    std::uint64_t m_lowerSequence = 0; ///< Of the last of them.
     unsigned m_contradictions = 0; ///< How often in a row it was described like that.
     std::shared_ptr<scheduler_link> m_link;
     attachment_id m_attachment;
--- a/lib/libfleet/source/agent/incarnation_check.cpp
+++ b/lib/libfleet/source/agent/incarnation_check.cpp
@@ -38,11 +38,12 @@
         [&](const auto& entry) { return isSameRegistration(entry->heartbeat, heartbeat); });
     if (known != m_candidates.end()) {
         const auto entry = *known;
-        if (heartbeat.sequence < entry->heartbeat.sequence)
-            return false;
-        entry->heartbeat = heartbeat;
+        // The known sequence may be another writer's, so the worker is asked in any case.
+        const bool isLate = heartbeat.sequence < entry->heartbeat.sequence;
+        if (!isLate)
+            entry->heartbeat = heartbeat;
         probe(entry, fence);
-        return true;
+        return !isLate;
     }
     auto entry = std::make_shared<candidate>();
     entry->heartbeat = heartbeat;
--- a/lib/libfleet/source/agent/worker_agent.cpp
+++ b/lib/libfleet/source/agent/worker_agent.cpp
@@ -51,8 +51,9 @@
 bool worker_agent::updateWorker(const worker_heartbeat& heartbeat)
 {
     m_contradictions = 0;
-    if (heartbeat.sequence < m_worker.sequence)
+    if (heartbeat.sequence < m_worker.sequence && !outlastsDelays(heartbeat))
         return false;
+    m_lowerSince.reset();
     const bool startsToDrain = heartbeat.worker.draining && !m_worker.worker.draining;
     m_worker = heartbeat;
     m_report.worker = heartbeat.worker;
@@ -63,6 +64,22 @@
     return true;
 }
 
+/// Late heartbeats have been sent before the one that is known, so none arrives once the longest delay of a call has passed. What
+/// goes on with lower numbers that rise is the worker itself, and the known number was another writer's.
+bool worker_agent::outlastsDelays(const worker_heartbeat& heartbeat)
+{
+    const bool rises = m_lowerSince && heartbeat.sequence > m_lowerSequence;
+    if (!rises)
+        m_lowerSince = m_clock();
+    m_lowerSequence = heartbeat.sequence;
+    if (m_clock() - *m_lowerSince <= m_timing.maxCallDelay)
+        return false;
+    oriole::logEvent(oriole::log_level::Warning, "heartbeat_sequence_replaced",
+        { { "instance", heartbeat.worker.incarnation.instance }, { "known_sequence", m_worker.sequence }, { "sequence", heartbeat.sequence },
+            { "lower_for_ms", std::chrono::duration_cast<milliseconds>(m_clock() - *m_lowerSince).count() } });
+    return true;
+}
+
 bool worker_agent::handleContradiction(const worker_heartbeat& heartbeat)
 {
     if (!isSameRegistration(heartbeat, m_contradiction) || heartbeat.sequence < m_contradiction.sequence)
--- a/tests/fleet/worker_agent_test.cpp
+++ b/tests/fleet/worker_agent_test.cpp
@@ -412,6 +412,50 @@
 }
 
 // Guards against a second run: a start order that a cut had held up arrived after the task had been started elsewhere.
+// Guards against a worker that counts as leaving for good after one heartbeat of another writer (review/12).
+TEST_CASE("a sequence that another writer has set does not shut out the worker for longer than a call may be late", "[agent][foreign-sequence]")
+{
+    agent_fixture fixture;
+    auto foreign = fixture.heartbeat;
+    foreign.sequence = 100'000;
+    foreign.worker.draining = true;
+    REQUIRE(fixture.agent.handleHeartbeat(foreign));
+    const auto beatsUntilTaken = [&] {
+        for (int beats = 1; beats <= 20; ++beats) {
+            fixture.advance(1500);
+            ++fixture.heartbeat.sequence;
+            if (fixture.agent.handleHeartbeat(fixture.heartbeat))
+                return beats;
+        }
+        return 0;
+    };
+    SECTION("the worker's own heartbeats go on")
+    {
+        // More than 12 s of them.
+        CHECK(beatsUntilTaken() == 10);
+        fixture.answerPoll();
+        CHECK_FALSE(fixture.link->reports.back().worker.draining);
+    }
+    SECTION("heartbeats that were held up come again and again")
+    {
+        for (int i = 0; i < 20; ++i) {
+            fixture.advance(1500);
+            CHECK_FALSE(fixture.agent.handleHeartbeat(fixture.heartbeat));
+        }
+    }
+    SECTION("the other writer goes on")
+    {
+        for (int i = 0; i < 10; ++i) {
+            fixture.advance(1500);
+            ++fixture.heartbeat.sequence;
+            CHECK_FALSE(fixture.agent.handleHeartbeat(fixture.heartbeat));
+            ++foreign.sequence;
+            CHECK(fixture.agent.handleHeartbeat(foreign));
+        }
+        CHECK(beatsUntilTaken() == 10);
+    }
+}
+
 TEST_CASE("an order or attachment that was held up on a replaced connection changes nothing", "[agent][attachment]")
 {
     agent_fixture fixture;
--- a/tests/fleet_soak/fault_script.cpp
+++ b/tests/fleet_soak/fault_script.cpp
@@ -38,7 +38,7 @@
         { "restart-and-cut", [this] { restartAndCut(); } }, { "restart-domain", [this] { restartDomain(); } },
         { "agent-between-lives", [this] { killAgentBetweenLives(); } }, { "restart-unanswered", [this] { restartUnanswered(); } },
         { "calls-over-restart", [this] { holdCallsOverRestart(); } }, { "large-heartbeat", [this] { sendLargeHeartbeat(); } },
-        { "rack-lost", [this] { loseRack(); } } };
+        { "rack-lost", [this] { loseRack(); } }, { "incomplete-heartbeat", [this] { sendIncompleteHeartbeat(); } } };
 }
 
 std::vector<std::string> fault_script::knownKinds()
@@ -53,7 +53,7 @@
 {
     return { "kill", "freeze", "terminate", "link", "held-orders", "crash", "worker", "store", "configuration", "evacuation",
         "foreign-heartbeat", "delayed-heartbeat", "odd-record", "refusing-link", "other-worker", "restart-and-cut", "restart-domain",
-        "agent-between-lives", "restart-unanswered", "large-heartbeat", "rack-lost" };
+        "agent-between-lives", "restart-unanswered", "large-heartbeat", "rack-lost", "incomplete-heartbeat" };
 }
 
 void fault_script::start(milliseconds period)
@@ -563,6 +563,20 @@
     put(index, served.worker->instance(), std::string(largestHeartbeat, '['));
 }
 
+/// Another writer's heartbeat that lacks fields, and whose sequence is far ahead of the worker's own.
+void fault_script::sendIncompleteHeartbeat()
+{
+    std::size_t index = 0;
+    const auto& served = anyWorker(index);
+    auto body = served.worker->heartbeat();
+    body.erase("version");
+    body.erase("slots");
+    body["state"] = "draining";
+    body["sequence"] = 1'000'000;
+    log("a heartbeat without all fields as " + served.worker->instance() + " at " + m_deployment.agents()[index].name);
+    put(index, served.worker->instance(), body.dump());
+}
+
 /// All workers of one rack are gone for good.
 void fault_script::loseRack()
 {
--- a/tests/fleet_soak/fault_script.hpp
+++ b/tests/fleet_soak/fault_script.hpp
@@ -66,6 +66,7 @@
     void delayHeartbeat();
     void writeOddRecord();
     void sendLargeHeartbeat();
+    void sendIncompleteHeartbeat();
     void loseRack();
 
     fleet_deployment::node& anyNode();
--- a/tests/hostile_clients/main.cpp
+++ b/tests/hostile_clients/main.cpp
@@ -132,7 +132,7 @@
 // Guards against agents that go over their memory: a tree of JSON takes up to 80 bytes for each byte of nested brackets.
 TEST_CASE("heartbeats that are large when decoded")
 {
-    const std::string known = R"({"service":"desk","address":"127.0.0.1:1","zone":"domain-a","state":"ready","sequence":1,)"
+    const std::string known = R"({"service":"desk","address":"127.0.0.1:1","zone":"domain-a","state":"ready","sequence":1,"version":"v1","slots":8,"coldLeftMs":0,)"
                               R"("capacity":{"cpu":1,"memMb":1,"gpu":1},)";
     const auto [start, piece] = GENERATE_COPY(table<std::string, std::string>({ { "", "[" }, { known + R"("labels":)", "[" },
         { known + R"("labels":[)", R"("a",)" }, { known + R"("unknown":{)", R"("a":{},)" } }));
