Keep the terms under which a job was accepted

Cause: for a queue that the newest configuration lacks, the scheduler took three attempts and the last priority; what a job was accepted under was kept nowhere. The record of a job holds priority, attempts, slack factor and target now, and they hold once the queue is gone. Records without them are read as before.

--- a/lib/libfleet/include/fleet/core/tables.hpp
+++ b/lib/libfleet/include/fleet/core/tables.hpp
@@ -41,7 +41,7 @@
 struct job_row {
     accepted_job job;
     job_progress progress;
-    queue_rule rule; ///< Rules of the job's queue; those of a removed queue have the lowest priority.
+    queue_rule rule; ///< Rules of the job's queue, or of its acceptance if the queue was removed.
     time_point acceptedAt;
     unit_waits waits;
     /// By step: shortest run time projected from progress, with the slow-down away from the data taken out.
@@ -119,7 +119,7 @@
     decision_limits limits = deriveLimits({});
 };
 
-/// @brief Rules of a job's queue. If the queue was removed, rules with the lowest priority are returned.
+/// @brief Rules of a job's queue. If the queue was removed, those under which the job was accepted are returned.
 queue_rule findRule(const configuration& rules, const accepted_job& job);
 
 /// @brief The row of a worker; it is added if the worker is not known.
--- a/lib/libfleet/include/fleet/model/job.hpp
+++ b/lib/libfleet/include/fleet/model/job.hpp
@@ -48,6 +48,16 @@
     [[nodiscard]] unsigned occurrences() const { return repeatCount == 0 ? 1 : repeatCount; }
 };
 
+/// @brief What its queue promised when a job was accepted. It holds for the job once the queue has been removed.
+struct acceptance_terms {
+    unsigned priority = 0;
+    unsigned maxAttempts = 1;
+    double slackFactor = 1;
+    std::int64_t targetLatencyMs = 0;
+
+    auto operator<=>(const acceptance_terms&) const = default;
+};
+
 /// @brief A job as accepted: what its caller sent, for whom, and where.
 struct accepted_job {
     std::string id;
@@ -56,6 +66,7 @@
     std::string organisation; ///< Empty on a queue that asks for no key.
     std::int64_t acceptedUnixMs = 0;
     std::uint64_t bodyDigest = 0; ///< Another body under the same id is another job.
+    std::optional<acceptance_terms> terms; ///< Missing in records of earlier versions.
     job_spec spec;
 
     auto operator<=>(const accepted_job&) const = default;
--- a/lib/libfleet/source/core/tables.cpp
+++ b/lib/libfleet/source/core/tables.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-// Jobs of a removed queue are still completed, after all others.
-constexpr unsigned lastPriority = 99;
-constexpr unsigned maxAttemptsWithoutQueue = 3;
+// Of a removed queue, for jobs whose record does not hold the terms of their acceptance.
+constexpr acceptance_terms unknownTerms { 99, 3, 1, 0 };
 
 } // namespace
 
@@ -19,8 +18,11 @@
     queue_rule removed;
     removed.name = job.queue;
     removed.service = job.service;
-    removed.priority = lastPriority;
-    removed.maxAttempts = maxAttemptsWithoutQueue;
+    const auto terms = job.terms.value_or(unknownTerms);
+    removed.priority = terms.priority;
+    removed.maxAttempts = terms.maxAttempts;
+    removed.slackFactor = terms.slackFactor;
+    removed.targetLatencyMs = terms.targetLatencyMs;
     return removed;
 }
 
--- a/lib/libfleet/source/records/job_codec.cpp
+++ b/lib/libfleet/source/records/job_codec.cpp
@@ -143,6 +143,10 @@
         target["first_due_unix_ms"] = job.spec.firstDueUnixMs;
         target["interval_ms"] = job.spec.intervalMs;
     }
+    if (job.terms) {
+        target["terms"] = { { "priority", job.terms->priority }, { "max_attempts", job.terms->maxAttempts },
+            { "slack_factor", job.terms->slackFactor }, { "target_ms", job.terms->targetLatencyMs } };
+    }
     return target.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -159,6 +163,10 @@
         job.spec.text = source.at("text").get<std::string>();
         for (const auto& step : source.at("steps"))
             job.spec.steps.push_back(decodeStep(step));
+        if (const auto terms = source.find("terms"); terms != source.end()) {
+            job.terms = acceptance_terms { terms->at("priority").get<unsigned>(), terms->at("max_attempts").get<unsigned>(),
+                terms->at("slack_factor").get<double>(), terms->at("target_ms").get<std::int64_t>() };
+        }
         job.spec.repeatCount = source.value("repeat", 0U);
         job.spec.firstDueUnixMs = source.value("first_due_unix_ms", std::int64_t { 0 });
         job.spec.intervalMs = source.value("interval_ms", std::int64_t { 0 });
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -751,6 +751,33 @@
 }
 
 // Guards against a job that stays unfinished for good: its last attempt was kept from every worker on which it had failed.
+// Guards against more or fewer attempts than a job was accepted with, once the route of its queue is removed (review/8).
+TEST_CASE("a job whose queue is removed keeps the terms of its acceptance", "[core][removed-queue]")
+{
+    core_fixture fixture;
+    const auto worker = workerReport("r1");
+    fixture.report("w1", worker);
+    fixture.report("w2", worker);
+    auto accepted = job("a", "batch", { step(1, 8) });
+    const unsigned attempts = GENERATE(1U, 5U);
+    accepted.terms = acceptance_terms { 2, attempts, 3, 1000 };
+    fixture.add(accepted);
+    auto rules = fixture.core.state().rules;
+    std::erase_if(rules.queues, [](const queue_rule& rule) { return rule.name == "batch"; });
+    fixture.core.configure(rules);
+    CHECK(fixture.core.findJob("a")->rule.priority == 2);
+    unsigned starts = 0;
+    for (int turn = 0; turn < 40; ++turn) {
+        fixture.now += milliseconds(1000);
+        for (const auto& started : core_fixture::only<start_effect>(fixture.decide())) {
+            ++starts;
+            fixture.end(started.worker, worker, started.run, run_outcome::Failed);
+        }
+    }
+    CHECK(starts == attempts);
+    CHECK(fixture.core.findJob("a")->progress.state == job_state::Failed);
+}
+
 TEST_CASE("a last attempt waits for a healthy worker, but not for good", "[core][last-attempt]")
 {
     core_fixture fixture;
--- a/tests/fleet/store_test.cpp
+++ b/tests/fleet/store_test.cpp
@@ -343,6 +343,9 @@
     const auto decoded = decodeJob(encodeJob(original));
     REQUIRE(decoded);
     CHECK(decoded->spec.steps == original.spec.steps);
+    CHECK_FALSE(decoded->terms);
+    original.terms = acceptance_terms { 2, 8, 1.5, 300 };
+    CHECK(decodeJob(encodeJob(original))->terms == original.terms);
     for (const auto* text : { "", "{", "[]", "7", R"({"id":3})", R"({"state":"odd","occurrences":[]})" }) {
         CHECK_FALSE(decodeJob(text));
         CHECK_FALSE(decodeProgress(text));
