Do not schedule before a configuration was read

Cause: an entry claimed the scheduler's record and decided before its first read of the configuration was answered. Until then each queue counts as removed and no failure domain as out.

--- a/lib/libfleet/source/entry/fleet_entry.cpp
+++ b/lib/libfleet/source/entry/fleet_entry.cpp
@@ -90,7 +90,8 @@
 
 std::optional<milliseconds> fleet_entry::timeBeforeClaim(bool lostRecently) const
 {
-    if (!m_cores.loaded())
+    // Without the operators' configuration each queue would count as removed, and no failure domain as out.
+    if (!m_cores.loaded() || !m_dependencies.control.view().loaded)
         return std::nullopt;
     std::vector<double> others;
     for (const auto& [key, item] : m_cores.records()) {
