Start gangs that last again when they end done

Cause: applyEnd looked at the gang before it looked at whether the step lasts. The latter goes first now, however a run ends.

--- a/lib/libfleet/source/core/job_progress.cpp
+++ b/lib/libfleet/source/core/job_progress.cpp
@@ -89,12 +89,13 @@
     auto& recordingTask = rule.gang ? step.front() : *task;
     if (!checkpoint.empty())
         recordingTask.checkpoint = checkpoint;
-    if (how == run_outcome::Done && rule.gang)
+    // Tasks that last are started again however they end.
+    if (how != run_outcome::Done || rule.lasting)
+        requeueTask(*task);
+    else if (rule.gang)
         finishGang(step);
-    else if (how == run_outcome::Done && !rule.lasting)
-        finishTask(*task);
     else
-        requeueTask(*task);
+        finishTask(*task);
 
     if (how == run_outcome::Failed && recordingTask.failedAttempt != run.attempt) {
         ++recordingTask.failures;
--- a/tests/fleet/scheduler_core_test.cpp
+++ b/tests/fleet/scheduler_core_test.cpp
@@ -751,6 +751,30 @@
 }
 
 // Guards against a job that stays unfinished for good: its last attempt was kept from every worker on which it had failed.
+// Guards against a gang that never runs again once it has ended done (review/14).
+TEST_CASE("a gang that lasts is started again however it ends", "[core][gang][lasting]")
+{
+    core_fixture fixture;
+    const auto worker = workerReport("r1");
+    fixture.report("w1", worker);
+    fixture.report("w2", worker);
+    auto gang = step(2, 8);
+    gang.gang = true;
+    gang.lasting = true;
+    fixture.add(job("a", "batch", { gang }));
+    const auto how = GENERATE(run_outcome::Done, run_outcome::Failed, run_outcome::Stopped);
+    for (unsigned attempt = 1; attempt <= 5; ++attempt) {
+        const auto starts = core_fixture::only<start_effect>(fixture.decide());
+        REQUIRE(starts.size() == 2);
+        for (const auto& started : starts) {
+            CHECK(started.run.attempt == attempt);
+            fixture.end(started.worker, worker, started.run, how);
+        }
+        CHECK(fixture.core.findJob("a")->progress.state == job_state::Running);
+        fixture.now += milliseconds(20'000);
+    }
+}
+
 // Guards against more or fewer attempts than a job was accepted with, once the route of its queue is removed (review/8).
 TEST_CASE("a job whose queue is removed keeps the terms of its acceptance", "[core][removed-queue]")
 {
