--- a/lib/libfleet/include/fleet/entry/early_cancels.hpp
+++ b/lib/libfleet/include/fleet/entry/early_cancels.hpp
@@ -7,7 +7,6 @@
 
 #include <fleet/store/record_store.hpp>
 
-#include <chrono>
 #include <functional>
 #include <optional>
 #include <string>
