Refuse a message with a NUL byte after its end

json_reader took a NUL outside of strings for the end of the text, so a message followed by one and by anything else was read as whole. Found by reading the change; the new bodies in json_reader_test.cpp are refused now.

--- a/lib/libfleet/source/records/json_reader.cpp
+++ b/lib/libfleet/source/records/json_reader.cpp
@@ -1,6 +1,7 @@
 #include <fleet/records/json_reader.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <stdexcept>
 #include <vector>
 
@@ -22,11 +23,11 @@
     {
     }
 
-    /// @brief The next character that is no white space, which stays; 0 at the end of the text.
-    char peek()
+    /// @brief The next character that is no white space, which stays; no value at the end of the text.
+    std::optional<char> peek()
     {
         m_position = std::min(m_text.find_first_not_of(whitespace, m_position), m_text.size());
-        return m_position < m_text.size() ? m_text[m_position] : '\0';
+        return m_position < m_text.size() ? std::optional(m_text[m_position]) : std::nullopt;
     }
 
     bool accept(char wanted)
@@ -47,7 +48,7 @@
     /// @return The text of the value.
     std::string_view takeValue()
     {
-        const char first = peek();
+        const auto first = peek();
         const auto begin = m_position;
         if (first == '"')
             skipString();
@@ -119,7 +120,7 @@
             while (m_scanner.accept(','));
             m_scanner.expect('}');
         }
-        if (m_scanner.peek() != '\0')
+        if (m_scanner.peek())
             throw std::invalid_argument("no valid JSON: text after the end of the message");
         for (const auto& [name, list] : m_shape.lists) {
             if (list.isRequired && !m_listsSeen.contains(name))
--- a/tests/fleet/json_reader_test.cpp
+++ b/tests/fleet/json_reader_test.cpp
@@ -35,11 +35,11 @@
 TEST_CASE("a message that is no valid JSON or has another shape is refused with a reason", "[json]")
 {
     std::vector<json> elements;
-    for (const std::string bad : { "", " ", "[]", "1", "null", "{", "{}", R"({"list":[]}})", R"({"list":[],})", R"({"list":[1,]})",
+    for (const auto& bad : std::vector<std::string> { "", " ", "[]", "1", "null", "{", "{}", R"({"list":[]}})", R"({"list":[],})", R"({"list":[1,]})",
              R"({"list":[1 2]})", R"({"list":{}})", R"({"list":null})", R"({"list":[],"list":[]})", R"({"list":[]] )", R"({"list":[})",
              R"({"list":[[}]})", R"({"list":[], a:1})", R"({"list":[],"a"})", R"({"list":[],"a":})", R"({"list":[],"a":"x)",
              R"({"list":[],"a":"x\)", R"({"list":[],"a":tru})", R"({"list":[],"other":tru})", R"({"list":[],"other":[1,]})",
-             "{\"list\":[],\"a\":\"\xff\"}", "{\"list\":[],\"\xff\":1}" }) {
+             std::string("{\"list\":[]}\0{}", 14), std::string("{\"list\":[]\0}", 12), "{\"list\":[],\"a\":\"\xff\"}", "{\"list\":[],\"\xff\":1}" }) {
         INFO(bad);
         CHECK_THROWS_WITH(readJsonMessage(bad, shapeOf(elements)), Catch::Matchers::Matches(".+"));
     }
